--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,13 @@
+# Libraries from Debian; scripts/install_dependencies.sh names the packages.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(Boost REQUIRED COMPONENTS program_options)
+find_package(Catch2 2 REQUIRED)
+find_package(nlohmann_json REQUIRED)
+pkg_check_modules(SIGCXX REQUIRED IMPORTED_TARGET sigc++-2.0)
+pkg_check_modules(LIBEVENT REQUIRED IMPORTED_TARGET libevent)
+pkg_check_modules(ZMQ REQUIRED IMPORTED_TARGET libzmq)
+pkg_check_modules(LOG4CPLUS REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
--- /dev/null
+++ b/cmake/Targets.cmake
@@ -0,0 +1,35 @@
+# One call for each kind of target, so that the lists in the folders stay short.
+
+set(DANDELION_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers -Werror)
+
+# dandelion_library(<folder name> SOURCES ... LINK ...)
+function(dandelion_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_library(dandelion_${name} STATIC ${ARG_SOURCES})
+  target_include_directories(dandelion_${name} PUBLIC
+    $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/src> $<INSTALL_INTERFACE:include>)
+  target_compile_options(dandelion_${name} PRIVATE ${DANDELION_WARNINGS})
+  target_link_libraries(dandelion_${name} PUBLIC ${ARG_LINK})
+endfunction()
+
+# dandelion_program(<binary name> SOURCES ... LINK ...)
+function(dandelion_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_compile_options(${name} PRIVATE ${DANDELION_WARNINGS})
+  target_link_libraries(${name} PRIVATE ${ARG_LINK})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+endfunction()
+
+# dandelion_test(<library name> SOURCES ... LINK ...): one test program for each library.
+function(dandelion_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(${name}_tests ${ARG_SOURCES})
+  target_compile_options(${name}_tests PRIVATE ${DANDELION_WARNINGS})
+  target_compile_definitions(${name}_tests PRIVATE
+    DANDELION_GOLDEN_DIR="${PROJECT_SOURCE_DIR}/tests/golden")
+  target_link_libraries(${name}_tests PRIVATE catch_main ${ARG_LINK})
+  set_target_properties(${name}_tests PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+  add_test(NAME ${name} COMMAND ${name}_tests)
+endfunction()
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Configures and builds everything into build/ (or into the folder named by BUILD_DIR).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build_dir="${BUILD_DIR:-build}"
+cmake -S . -B "$build_dir" -G Ninja >/dev/null
+cmake --build "$build_dir" -- ${BUILD_JOBS:+-j "$BUILD_JOBS"}
--- /dev/null
+++ b/src/dandelionstand/common/Counters.h
@@ -0,0 +1,33 @@
+#ifndef dandelionstand_common_Counters_h
+#define dandelionstand_common_Counters_h
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace dandelionstand::common {
+
+//! Counters and gauges of one process, named as they appear on the metrics endpoint.
+class Counters
+{
+public:
+  //! The counter of that name, made at 0 on first use; the reference stays valid.
+  //! A name may carry labels: `calls_total{outcome="answered"}`.
+  std::uint64_t& At(const std::string& aName) { return values_[aName]; }
+
+  void Add(const std::string& aName, std::uint64_t aAmount = 1) { values_[aName] += aAmount; }
+  void Set(const std::string& aName, std::uint64_t aValue) { values_[aName] = aValue; }
+  std::uint64_t Get(const std::string& aName) const;
+
+  const std::map<std::string, std::uint64_t>& All() const { return values_; }
+
+  //! Text exposition format: one `dandelion_name value` line for each counter.
+  std::string ToText() const;
+
+private:
+  std::map<std::string, std::uint64_t> values_;
+};
+
+} // namespace dandelionstand::common
+
+#endif // dandelionstand_common_Counters_h
--- /dev/null
+++ b/src/dandelionstand/common/Findings.h
@@ -0,0 +1,63 @@
+#ifndef dandelionstand_common_Findings_h
+#define dandelionstand_common_Findings_h
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace dandelionstand::common {
+
+//! Where a finding lies: a file (or another source), a line, and the path of the key.
+struct Place
+{
+  std::string source_;
+  int line_ = 0; //!< 0 if the source has no lines.
+  std::string path_;
+
+  bool operator==(const Place&) const = default;
+};
+
+//! One thing that is wrong with an input.
+struct Finding
+{
+  Place place_;
+  std::string message_;
+
+  bool operator==(const Finding&) const = default;
+
+  //! "file:line: path: message", without the parts that are absent.
+  std::string ToString() const;
+};
+
+//! Collects everything that is wrong with an input, so that it is reported together.
+class Findings
+{
+public:
+  void Add(Place aPlace, std::string aMessage);
+  void Append(const Findings& aOther);
+
+  bool IsEmpty() const { return findings_.empty(); }
+  const std::vector<Finding>& All() const { return findings_; }
+
+  //! One line for each finding.
+  std::string ToString() const;
+
+private:
+  std::vector<Finding> findings_;
+};
+
+//! Thrown when an input has findings and nothing of it was used.
+class FindingsError : public std::runtime_error
+{
+public:
+  explicit FindingsError(Findings aFindings);
+
+  const Findings& GetFindings() const { return findings_; }
+
+private:
+  Findings findings_;
+};
+
+} // namespace dandelionstand::common
+
+#endif // dandelionstand_common_Findings_h
--- /dev/null
+++ b/src/dandelionstand/common/StrongId.h
@@ -0,0 +1,43 @@
+#ifndef dandelionstand_common_StrongId_h
+#define dandelionstand_common_StrongId_h
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <utility>
+
+namespace dandelionstand::common {
+
+//! Wraps a value so that ids and numbers of different meaning cannot be mixed up.
+template<typename Tag, typename Value>
+class StrongId
+{
+public:
+  using ValueType = Value;
+
+  StrongId() = default;
+  explicit StrongId(Value aValue)
+    : value_(std::move(aValue))
+  {
+  }
+
+  const Value& Get() const { return value_; }
+
+  auto operator<=>(const StrongId&) const = default;
+
+private:
+  Value value_{};
+};
+
+} // namespace dandelionstand::common
+
+template<typename Tag, typename Value>
+struct std::hash<dandelionstand::common::StrongId<Tag, Value>>
+{
+  std::size_t operator()(const dandelionstand::common::StrongId<Tag, Value>& aId) const
+  {
+    return std::hash<Value>{}(aId.Get());
+  }
+};
+
+#endif // dandelionstand_common_StrongId_h
--- /dev/null
+++ b/src/dandelionstand/config/ConfigState.h
@@ -0,0 +1,42 @@
+#ifndef dandelionstand_config_ConfigState_h
+#define dandelionstand_config_ConfigState_h
+
+#include "dandelionstand/common/Ids.h"
+#include "dandelionstand/config/Resources.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace dandelionstand::config {
+
+//! A resource and the version that last changed it.
+template<typename Value>
+struct Versioned
+{
+  Value value_;
+  common::Version version_;
+
+  bool operator==(const Versioned&) const = default;
+};
+
+//! The whole configuration at one version. Immutable once shared; closed under references.
+struct ConfigState
+{
+  common::Version version_;
+  std::map<LimitsName, Versioned<Limits>> limits_;
+  std::map<common::ServiceName, Versioned<Endpoints>> endpoints_;
+  std::map<RouteName, Versioned<Route>> routes_;
+
+  bool operator==(const ConfigState&) const = default;
+
+  //! The route with the longest matching path prefix that takes the method; null if none does.
+  const std::pair<const RouteName, Versioned<Route>>* Match(const std::string& aMethod,
+                                                            const std::string& aPath) const;
+};
+
+using ConfigStatePtr = std::shared_ptr<const ConfigState>;
+
+} // namespace dandelionstand::config
+
+#endif // dandelionstand_config_ConfigState_h
--- /dev/null
+++ b/src/dandelionstand/config/Resources.cpp
@@ -0,0 +1,1 @@
+#include "dandelionstand/config/Resources.h"
--- /dev/null
+++ b/src/dandelionstand/config/Resources.h
@@ -0,0 +1,68 @@
+#ifndef dandelionstand_config_Resources_h
+#define dandelionstand_config_Resources_h
+
+#include "dandelionstand/common/Ids.h"
+#include "dandelionstand/common/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dandelionstand::config {
+
+using LimitsName = common::StrongId<struct LimitsNameTag, std::string>;
+using RouteName = common::StrongId<struct RouteNameTag, std::string>;
+
+//! What may be done with a request whose outcome is unknown.
+enum class Idempotency
+{
+  kIdempotent, //!< Runs any number of times with one effect; retried after any failure.
+  kKeyed,      //!< Runs at most once for each idempotency key.
+  kOnce,       //!< No key: exactly one attempt that may have run.
+};
+
+//! The class decides the order in a target's queue and what is shed first.
+enum class TrafficClass
+{
+  kOrder,
+  kLookup,
+  kDownload,
+  kBrowse,
+};
+
+//! How much work each endpoint of a service takes.
+struct Limits
+{
+  std::uint32_t slots_ = 8;               //!< Requests that run at one time.
+  std::uint32_t connections_ = 100;       //!< Connections of a daemon to its target.
+  std::uint32_t queueLength_ = 16;        //!< Requests that wait for a slot.
+  std::uint32_t retryBudgetPercent_ = 10; //!< Retries as a share of first attempts.
+
+  bool operator==(const Limits&) const = default;
+};
+
+//! The endpoints of a service; the endpoints themselves announce their presence.
+struct Endpoints
+{
+  LimitsName limits_;
+
+  bool operator==(const Endpoints&) const = default;
+};
+
+//! Which requests go to which service, and what was promised for them.
+struct Route
+{
+  std::string pathPrefix_;
+  std::vector<std::string> methods_;
+  common::ServiceName endpoints_;
+  Idempotency idempotency_ = Idempotency::kOnce;
+  TrafficClass trafficClass_ = TrafficClass::kBrowse;
+  common::Duration timeout_ = std::chrono::seconds(2);
+  std::uint32_t attempts_ = 3;
+
+  bool operator==(const Route&) const = default;
+};
+
+} // namespace dandelionstand::config
+
+#endif // dandelionstand_config_Resources_h
--- /dev/null
+++ b/src/dandelionstand/platform/Log.cpp
@@ -0,0 +1,7 @@
+#include "dandelionstand/platform/Log.h"
+
+namespace dandelionstand::platform {
+
+Log::~Log() = default;
+
+} // namespace dandelionstand::platform
--- /dev/null
+++ b/tests/config/ConfigStateTests.cpp
@@ -0,0 +1,16 @@
+#include "dandelionstand/config/ConfigState.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand::config;
+
+TEST_CASE("The longest path prefix wins among the routes that take the method", "[config][routes]")
+{
+  ConfigState state;
+  state.routes_[RouteName("all")].value_ = { .pathPrefix_ = "/", .methods_ = { "GET", "POST" } };
+  state.routes_[RouteName("shop")].value_ = { .pathPrefix_ = "/shop", .methods_ = { "GET" } };
+  REQUIRE(state.Match("GET", "/shop/1") != nullptr);
+  CHECK(state.Match("GET", "/shop/1")->first == RouteName("shop"));
+  CHECK(state.Match("POST", "/shop/1")->first == RouteName("all"));
+  CHECK(state.Match("PUT", "/shop/1") == nullptr);
+}
