Read and append to the log over HTTP, with stand-ins for log and target

Cause: nothing could reach the platform's log, and no target could announce itself. The client gives each running request a connection of its own and never reuses one on which anything went wrong, since an open connection can be silent for good while new ones work. Ruled out: one connection with requests in line, where a long poll would hold up each append; the timeouts of evhttp, which restart with every byte. Records are taken from the answer as they arrive, so a record over the limit is passed over without keeping it and never stops a reader.

--- /dev/null
+++ b/src/dandelionstand/platform/HttpClient.cpp
@@ -0,0 +1,207 @@
+#include "dandelionstand/platform/HttpClient.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <cctype>
+#include <new>
+#include <stdexcept>
+#include <utility>
+
+namespace dandelionstand::platform {
+
+namespace {
+
+std::string ToLower(std::string aText)
+{
+  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aLetter) {
+    return static_cast<char>(std::tolower(aLetter));
+  });
+  return aText;
+}
+
+std::string TakeAll(evbuffer* aBuffer)
+{
+  std::string text(evbuffer_get_length(aBuffer), '\0');
+  evbuffer_remove(aBuffer, text.data(), text.size());
+  return text;
+}
+
+void CopyHead(evhttp_request* aRequest, HttpAnswer& aAnswer)
+{
+  aAnswer.status_ = evhttp_request_get_response_code(aRequest);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    aAnswer.headers_[ToLower(header->key)] = header->value;
+  }
+}
+
+} // namespace
+
+//! One request, its connection and its timer.
+class HttpClient::Exchange
+{
+public:
+  Exchange(HttpClient& aClient, HttpRequest aRequest, Callback aCallback)
+    : client_(aClient)
+    , request_(std::move(aRequest))
+    , callback_(std::move(aCallback))
+  {
+  }
+
+  void Start(Connection aConnection)
+  {
+    connection_ = std::move(aConnection);
+    timer_ =
+      client_.loop_.After(request_.timeout_, [this]() { End(HttpOutcome::kTimedOut, nullptr); });
+    evhttp_request* request = evhttp_request_new(&Exchange::OnDone, this);
+    if (request == nullptr) {
+      throw std::bad_alloc();
+    }
+    evhttp_request_set_chunked_cb(request, &Exchange::OnBody);
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", client_.settings_.address_.Get().c_str());
+    evbuffer* body = evhttp_request_get_output_buffer(request);
+    evbuffer_add(body, request_.body_.data(), request_.body_.size());
+    const evhttp_cmd_type command =
+      request_.method_ == HttpMethod::kGet ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
+    if (evhttp_make_request(connection_.get(), request, command, request_.target_.c_str()) != 0) {
+      timer_ = client_.loop_.After({}, [this]() { End(HttpOutcome::kFailed, nullptr); });
+    }
+  }
+
+  Connection TakeConnection() { return std::move(connection_); }
+  void Report(const HttpAnswer& aAnswer) { callback_(aAnswer); }
+  void StopTimer() { timer_.reset(); }
+
+private:
+  static void OnDone(evhttp_request* aRequest, void* aSelf)
+  {
+    auto* self = static_cast<Exchange*>(aSelf);
+    const bool isWhole = aRequest != nullptr && evhttp_request_get_response_code(aRequest) != 0;
+    self->End(isWhole ? HttpOutcome::kAnswered : HttpOutcome::kFailed, aRequest);
+  }
+
+  static void OnBody(evhttp_request* aRequest, void* aSelf)
+  {
+    auto* self = static_cast<Exchange*>(aSelf);
+    const std::string piece = TakeAll(evhttp_request_get_input_buffer(aRequest));
+    if (self->isEnded_) {
+      return;
+    }
+    if (!self->request_.onBody_) {
+      const std::size_t room = self->client_.settings_.maxBodyBytes_ - self->body_.size();
+      self->body_.append(piece, 0, room);
+    } else if (!self->request_.onBody_(piece)) {
+      self->End(HttpOutcome::kEndedEarly, aRequest);
+    }
+  }
+
+  void End(HttpOutcome aOutcome, evhttp_request* aRequest)
+  {
+    if (isEnded_) {
+      return;
+    }
+    isEnded_ = true;
+    HttpAnswer answer;
+    answer.outcome_ = aOutcome;
+    answer.body_ = std::move(body_);
+    if (aRequest != nullptr) {
+      CopyHead(aRequest, answer);
+    }
+    client_.Finish(this, answer);
+  }
+
+  HttpClient& client_;
+  HttpRequest request_;
+  Callback callback_;
+  Connection connection_;
+  std::unique_ptr<common::Watch> timer_;
+  std::string body_;
+  bool isEnded_ = false;
+};
+
+void HttpClient::ConnectionDeleter::operator()(evhttp_connection* aConnection) const
+{
+  evhttp_connection_free(aConnection);
+}
+
+HttpClient::HttpClient(common::EventLoop& aLoop, HttpClientSettings aSettings)
+  : loop_(aLoop)
+  , settings_(std::move(aSettings))
+{
+  const std::string& address = settings_.address_.Get();
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    throw std::invalid_argument("address without a port: " + address);
+  }
+  host_ = address.substr(0, colon);
+  port_ = std::stoi(address.substr(colon + 1));
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Send(HttpRequest aRequest, Callback aCallback)
+{
+  auto exchange = std::make_unique<Exchange>(*this, std::move(aRequest), std::move(aCallback));
+  Exchange* started = exchange.get();
+  exchanges_.emplace(started, std::move(exchange));
+  started->Start(TakeConnection());
+}
+
+HttpClient::Connection HttpClient::TakeConnection()
+{
+  if (!idle_.empty()) {
+    Connection connection = std::move(idle_.back());
+    idle_.pop_back();
+    return connection;
+  }
+  Connection connection(evhttp_connection_base_new(
+    loop_.Base(), nullptr, host_.c_str(), static_cast<unsigned short>(port_)));
+  if (!connection) {
+    throw std::bad_alloc();
+  }
+  evhttp_connection_set_max_headers_size(connection.get(),
+                                         static_cast<ev_ssize_t>(settings_.maxHeaderBytes_));
+  if (!settings_.sourceAddress_.empty()) {
+    evhttp_connection_set_local_address(connection.get(), settings_.sourceAddress_.c_str());
+  }
+  return connection;
+}
+
+void HttpClient::Finish(Exchange* aExchange, const HttpAnswer& aAnswer)
+{
+  auto ended = exchanges_.extract(aExchange);
+  aExchange->StopTimer();
+  if (IsReusable(aAnswer)) {
+    idle_.push_back(aExchange->TakeConnection());
+  }
+  ended_.push_back(std::move(ended.mapped()));
+  if (!reaper_) {
+    reaper_ = loop_.After({}, [this]() { Reap(); });
+  }
+  aExchange->Report(aAnswer);
+}
+
+bool HttpClient::IsReusable(const HttpAnswer& aAnswer) const
+{
+  if (aAnswer.outcome_ != HttpOutcome::kAnswered) {
+    return false;
+  }
+  const auto header = aAnswer.headers_.find("connection");
+  const bool isClosing = header != aAnswer.headers_.end() && ToLower(header->second) == "close";
+  return !isClosing && idle_.size() < settings_.maxIdleConnections_;
+}
+
+void HttpClient::Reap()
+{
+  reaper_.reset();
+  const std::vector<std::unique_ptr<Exchange>> ended = std::move(ended_);
+  ended_.clear();
+}
+
+} // namespace dandelionstand::platform
--- a/src/dandelionstand/platform/Log.h
+++ b/src/dandelionstand/platform/Log.h
@@ -4,6 +4,7 @@
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <vector>
@@ -22,10 +23,16 @@
   kRejected,    //!< The request is at fault (too large, bad name); an append did not take effect.
 };
 
+//! Longest record that is appended or read. It is the same for all readers, since they must agree
+//! on what each record says.
+constexpr std::size_t kMaxRecordBytes = std::size_t{ 4 } * 1024 * 1024;
+
 struct Record
 {
   common::Offset offset_;
-  std::string data_;
+  std::string data_; //!< Empty if the record is longer than kMaxRecordBytes.
+
+  bool operator==(const Record&) const = default;
 };
 
 struct AppendResult
--- /dev/null
+++ b/src/dandelionstand/platform/RecordFrames.cpp
@@ -0,0 +1,103 @@
+#include "dandelionstand/platform/RecordFrames.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionstand::platform {
+
+namespace {
+
+constexpr std::size_t kOffsetBytes = 8;
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kHeadBytes = kOffsetBytes + kLengthBytes;
+constexpr unsigned kBitsPerByte = 8;
+
+void AppendBigEndian(std::uint64_t aValue, std::size_t aBytes, std::string& aOut)
+{
+  for (std::size_t byte = aBytes; byte > 0; --byte) {
+    aOut += static_cast<char>((aValue >> (kBitsPerByte * (byte - 1))) & 0xFF);
+  }
+}
+
+std::uint64_t ReadBigEndian(std::string_view aBytes)
+{
+  std::uint64_t value = 0;
+  for (const char byte : aBytes) {
+    value = (value << kBitsPerByte) | static_cast<unsigned char>(byte);
+  }
+  return value;
+}
+
+} // namespace
+
+void AppendFrame(const Record& aRecord, std::string& aOut)
+{
+  AppendBigEndian(aRecord.offset_.Get(), kOffsetBytes, aOut);
+  AppendBigEndian(aRecord.data_.size(), kLengthBytes, aOut);
+  aOut += aRecord.data_;
+}
+
+FrameReader::FrameReader(common::Offset aFrom,
+                         std::size_t aMaxRecordBytes,
+                         std::size_t aMaxTotalBytes)
+  : leastOffset_(aFrom.Get())
+  , maxRecordBytes_(aMaxRecordBytes)
+  , maxTotalBytes_(aMaxTotalBytes)
+{
+}
+
+bool FrameReader::Feed(std::string_view aBytes)
+{
+  while (!aBytes.empty() && !isMalformed_ && totalBytes_ < maxTotalBytes_) {
+    const bool isInHead = bytesLeft_ == 0;
+    const std::size_t wanted = isInHead ? kHeadBytes - head_.size() : bytesLeft_;
+    const std::string_view piece = aBytes.substr(0, wanted);
+    aBytes.remove_prefix(piece.size());
+    if (isInHead) {
+      head_ += piece;
+      ReadHead();
+      continue;
+    }
+    if (!isSkipping_) {
+      record_.data_ += piece;
+    }
+    bytesLeft_ -= piece.size();
+    if (bytesLeft_ == 0) {
+      EndRecord();
+    }
+  }
+  return !isMalformed_ && totalBytes_ < maxTotalBytes_;
+}
+
+void FrameReader::ReadHead()
+{
+  if (head_.size() < kHeadBytes) {
+    return;
+  }
+  const std::string_view head = head_;
+  record_.offset_ = common::Offset(ReadBigEndian(head.substr(0, kOffsetBytes)));
+  bytesLeft_ = ReadBigEndian(head.substr(kOffsetBytes));
+  head_.clear();
+  isMalformed_ = record_.offset_.Get() < leastOffset_;
+  isSkipping_ = bytesLeft_ > maxRecordBytes_;
+  if (!isMalformed_ && bytesLeft_ == 0) {
+    EndRecord();
+  }
+}
+
+void FrameReader::EndRecord()
+{
+  oversizedCount_ += isSkipping_ ? 1 : 0;
+  leastOffset_ = record_.offset_.Get() + 1;
+  totalBytes_ += kHeadBytes + record_.data_.size();
+  records_.push_back(std::move(record_));
+  record_ = Record();
+  isSkipping_ = false;
+}
+
+std::vector<Record> FrameReader::TakeRecords()
+{
+  return std::exchange(records_, {});
+}
+
+} // namespace dandelionstand::platform
--- /dev/null
+++ b/standins/ControlReader.cpp
@@ -0,0 +1,82 @@
+#include "standins/ControlReader.h"
+
+#include <chrono>
+#include <stdexcept>
+
+namespace dandelionstand::standins {
+
+namespace {
+
+template<typename Value>
+void Assign(const char* aKey, const nlohmann::json* aFound, Value& aValue)
+{
+  if (aFound == nullptr) {
+    return;
+  }
+  try {
+    aValue = aFound->get<Value>();
+  } catch (const nlohmann::json::exception&) {
+    throw std::invalid_argument(std::string("wrong type: ") + aKey);
+  }
+}
+
+} // namespace
+
+ControlReader::ControlReader(const std::string& aText)
+  : object_(nlohmann::json::parse(aText, nullptr, false))
+{
+  if (!object_.is_object()) {
+    throw std::invalid_argument("not a JSON object");
+  }
+}
+
+void ControlReader::Read(const char* aKey, std::uint64_t& aValue)
+{
+  Assign(aKey, Find(aKey), aValue);
+}
+
+void ControlReader::Read(const char* aKey, bool& aValue)
+{
+  Assign(aKey, Find(aKey), aValue);
+}
+
+void ControlReader::Read(const char* aKey, std::string& aValue)
+{
+  Assign(aKey, Find(aKey), aValue);
+}
+
+void ControlReader::Read(const char* aKey, common::Duration& aValue)
+{
+  std::uint64_t milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aValue).count();
+  Read(aKey, milliseconds);
+  aValue = std::chrono::milliseconds(milliseconds);
+}
+
+void ControlReader::RejectUnknownKeys() const
+{
+  for (const auto& [key, value] : object_.items()) {
+    if (known_.count(key) == 0) {
+      throw std::invalid_argument("unknown key: " + key);
+    }
+  }
+}
+
+const nlohmann::json* ControlReader::Find(const char* aKey)
+{
+  known_.insert(aKey);
+  const auto found = object_.find(aKey);
+  return found == object_.end() ? nullptr : &*found;
+}
+
+void SendJson(Responder& aResponder, const nlohmann::json& aValue)
+{
+  aResponder.Send(200, { { "Content-Type", "application/json" } }, aValue.dump());
+}
+
+void SendText(Responder& aResponder, int aStatus, const std::string& aText)
+{
+  aResponder.Send(aStatus, { { "Content-Type", "text/plain" } }, aText + "\n");
+}
+
+} // namespace dandelionstand::standins
--- /dev/null
+++ b/standins/HttpServer.cpp
@@ -0,0 +1,293 @@
+#include "standins/HttpServer.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <stdexcept>
+#include <utility>
+
+namespace dandelionstand::standins {
+
+namespace {
+
+constexpr ev_ssize_t kMaxBodyBytes = 67'108'864;
+constexpr ev_uint16_t kAllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                                    EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
+                                    EVHTTP_REQ_PATCH;
+
+std::string ToLower(std::string aText)
+{
+  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aLetter) {
+    return static_cast<char>(std::tolower(aLetter));
+  });
+  return aText;
+}
+
+const char* MethodName(evhttp_cmd_type aCommand)
+{
+  switch (aCommand) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      return "OTHER";
+  }
+}
+
+std::map<std::string, std::string> ToMap(const evkeyvalq* aPairs)
+{
+  std::map<std::string, std::string> pairs;
+  for (const evkeyval* pair = aPairs->tqh_first; pair != nullptr; pair = pair->next.tqe_next) {
+    pairs[ToLower(pair->key)] = pair->value;
+  }
+  return pairs;
+}
+
+void AddHeaders(evhttp_request* aRequest, const HeaderMap& aHeaders)
+{
+  evkeyvalq* out = evhttp_request_get_output_headers(aRequest);
+  for (const auto& [name, value] : aHeaders) {
+    evhttp_add_header(out, name.c_str(), value.c_str());
+  }
+}
+
+std::string TakeBody(evhttp_request* aRequest)
+{
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, body.data(), body.size());
+  return body;
+}
+
+std::string ClientIp(evhttp_request* aRequest)
+{
+  char* address = nullptr;
+  ev_uint16_t port = 0;
+  evhttp_connection_get_peer(evhttp_request_get_connection(aRequest), &address, &port);
+  return address == nullptr ? "" : address;
+}
+
+common::Address BoundAddress(evhttp_bound_socket* aSocket)
+{
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getsockname(evhttp_bound_socket_get_fd(aSocket), reinterpret_cast<sockaddr*>(&address), &length);
+  char text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &address.sin_addr, text, sizeof(text));
+  return common::Address(std::string(text) + ":" + std::to_string(ntohs(address.sin_port)));
+}
+
+} // namespace
+
+//! Notices that the client has closed while no byte is read or written.
+struct Responder::CloseWatch
+{
+  CloseWatch(event_base* aBase, int aDescriptor, Responder* aResponder)
+    : event_(event_new(aBase, aDescriptor, EV_CLOSED, &CloseWatch::Fire, aResponder))
+  {
+    event_add(event_, nullptr);
+  }
+  ~CloseWatch() { event_free(event_); }
+  CloseWatch(const CloseWatch&) = delete;
+  CloseWatch& operator=(const CloseWatch&) = delete;
+
+  static void Fire(evutil_socket_t, short, void* aResponder)
+  {
+    static_cast<Responder*>(aResponder)->NoteGone();
+  }
+
+  event* event_;
+};
+
+Responder::Responder(common::EventLoop& aLoop, evhttp_request* aRequest)
+  : loop_(aLoop)
+  , request_(aRequest)
+{
+  evhttp_connection* connection = evhttp_request_get_connection(aRequest);
+  evhttp_connection_set_closecb(connection, &Responder::OnConnectionClosed, this);
+  const int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  closeWatch_ = std::make_unique<CloseWatch>(loop_.Base(), descriptor, this);
+}
+
+Responder::~Responder()
+{
+  Drop();
+}
+
+void Responder::Send(int aStatus, const HeaderMap& aHeaders, const std::string& aBody)
+{
+  if (request_ == nullptr) {
+    return;
+  }
+  evhttp_request* request = request_;
+  Release();
+  AddHeaders(request, aHeaders);
+  evbuffer_add(evhttp_request_get_output_buffer(request), aBody.data(), aBody.size());
+  evhttp_send_reply(request, aStatus, nullptr, nullptr);
+}
+
+void Responder::StartBody(int aStatus, const HeaderMap& aHeaders, std::uint64_t aLength)
+{
+  if (request_ == nullptr) {
+    return;
+  }
+  AddHeaders(request_, aHeaders);
+  // With a length given, evhttp sends the pieces without chunked encoding.
+  AddHeaders(request_, { { "Content-Length", std::to_string(aLength) } });
+  evhttp_send_reply_start(request_, aStatus, nullptr);
+}
+
+void Responder::SendPiece(const std::string& aPiece, std::function<void()> aOnSent)
+{
+  if (request_ == nullptr) {
+    return;
+  }
+  onSent_ = std::move(aOnSent);
+  evbuffer* piece = evbuffer_new();
+  evbuffer_add(piece, aPiece.data(), aPiece.size());
+  evhttp_send_reply_chunk_with_cb(request_, piece, &Responder::OnPieceSent, this);
+  evbuffer_free(piece);
+}
+
+void Responder::EndBody()
+{
+  if (request_ == nullptr) {
+    return;
+  }
+  evhttp_request* request = request_;
+  Release();
+  evhttp_send_reply_end(request);
+}
+
+void Responder::Drop()
+{
+  if (request_ == nullptr) {
+    return;
+  }
+  evhttp_connection* connection = evhttp_request_get_connection(request_);
+  Release();
+  // The connection may be in the middle of a callback of evhttp.
+  loop_.Post([connection]() { evhttp_connection_free(connection); });
+}
+
+void Responder::OnConnectionClosed(evhttp_connection*, void* aSelf)
+{
+  auto* self = static_cast<Responder*>(aSelf);
+  self->request_ = nullptr;
+  self->NoteGone();
+}
+
+void Responder::OnPieceSent(evhttp_connection*, void* aSelf)
+{
+  const std::function<void()> onSent = std::move(static_cast<Responder*>(aSelf)->onSent_);
+  if (onSent) {
+    onSent();
+  }
+}
+
+void Responder::NoteGone()
+{
+  closeWatch_.reset();
+  const std::function<void()> onGone = std::exchange(onGone_, nullptr);
+  if (onGone) {
+    onGone();
+  }
+}
+
+void Responder::Release()
+{
+  closeWatch_.reset();
+  evhttp_connection_set_closecb(evhttp_request_get_connection(request_), nullptr, nullptr);
+  request_ = nullptr;
+}
+
+std::string ServerRequest::Header(const std::string& aLowerCaseName) const
+{
+  const auto found = headers_.find(aLowerCaseName);
+  return found == headers_.end() ? "" : found->second;
+}
+
+std::uint64_t ServerRequest::QueryNumber(const std::string& aName, std::uint64_t aDefault) const
+{
+  const auto found = query_.find(aName);
+  return found == query_.end() ? aDefault : std::strtoull(found->second.c_str(), nullptr, 10);
+}
+
+HttpServer::HttpServer(common::EventLoop& aLoop, const common::Address& aListen, Handler aHandler)
+  : loop_(aLoop)
+  , handler_(std::move(aHandler))
+  , http_(evhttp_new(aLoop.Base()))
+{
+  const std::string& listen = aListen.Get();
+  const std::size_t colon = listen.rfind(':');
+  if (colon == std::string::npos) {
+    throw std::invalid_argument("address without a port: " + listen);
+  }
+  const auto port = static_cast<ev_uint16_t>(std::stoi(listen.substr(colon + 1)));
+  evhttp_set_gencb(http_, &HttpServer::OnRequest, this);
+  evhttp_set_max_body_size(http_, kMaxBodyBytes);
+  evhttp_set_allowed_methods(http_, kAllMethods);
+  socket_ = evhttp_bind_socket_with_handle(http_, listen.substr(0, colon).c_str(), port);
+  if (socket_ == nullptr) {
+    evhttp_free(http_);
+    throw std::runtime_error("cannot listen on " + listen);
+  }
+  address_ = BoundAddress(socket_);
+}
+
+HttpServer::~HttpServer()
+{
+  evhttp_free(http_);
+}
+
+void HttpServer::StopAccepting()
+{
+  if (socket_ != nullptr) {
+    evhttp_del_accept_socket(http_, std::exchange(socket_, nullptr));
+  }
+}
+
+void HttpServer::OnRequest(evhttp_request* aRequest, void* aSelf)
+{
+  auto* self = static_cast<HttpServer*>(aSelf);
+  ServerRequest request;
+  request.method_ = MethodName(evhttp_request_get_command(aRequest));
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest);
+  const char* path = evhttp_uri_get_path(uri);
+  request.path_ = path == nullptr || *path == '\0' ? "/" : path;
+  if (const char* query = evhttp_uri_get_query(uri); query != nullptr) {
+    evkeyvalq pairs{};
+    if (evhttp_parse_query_str(query, &pairs) == 0) {
+      request.query_ = ToMap(&pairs);
+      evhttp_clear_headers(&pairs);
+    }
+  }
+  request.headers_ = ToMap(evhttp_request_get_input_headers(aRequest));
+  request.body_ = TakeBody(aRequest);
+  request.clientIp_ = ClientIp(aRequest);
+  request.responder_ = std::make_shared<Responder>(self->loop_, aRequest);
+  self->handler_(request);
+}
+
+} // namespace dandelionstand::standins
--- /dev/null
+++ b/standins/log/LogServer.h
@@ -0,0 +1,98 @@
+#ifndef dandelionstand_standins_log_LogServer_h
+#define dandelionstand_standins_log_LogServer_h
+
+#include "dandelionstand/common/EventLoop.h"
+#include "standins/HttpServer.h"
+#include "standins/log/LogStore.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace dandelionstand::standins {
+
+enum class LogOutage
+{
+  kNone,
+  kRefuse, //!< Every request gets 503.
+  kSilent, //!< No request gets an answer.
+};
+
+//! What a test makes the log service do; set through POST /control.
+struct LogBehaviour
+{
+  LogOutage outage_ = LogOutage::kNone;
+  common::Duration delay_{};             //!< Before each answer.
+  std::uint64_t loseAnswers_ = 0;        //!< So many more appends take effect without an answer.
+  std::string loseAnswersStream_;        //!< Only in this stream; empty stands for any.
+  std::uint64_t appendsPerSecond_ = 400; //!< 0 stands for no limit.
+  std::uint64_t maxRecordBytes_ = 16'777'216;
+  std::uint64_t maxReadBytes_ = 4'194'304;
+  Retention retention_;
+};
+
+//! The log service over HTTP: `/v1/streams/{stream}/records`, `/control` and `/counts`.
+class LogServer
+{
+public:
+  LogServer(common::EventLoop& aLoop, const common::Address& aListen);
+  ~LogServer();
+
+  const common::Address& ListeningAddress() const { return server_.ListeningAddress(); }
+  void SetBehaviour(const LogBehaviour& aBehaviour);
+  const LogBehaviour& GetBehaviour() const { return behaviour_; }
+
+private:
+  struct Usage
+  {
+    std::uint64_t appends_ = 0;
+    std::uint64_t appendBytes_ = 0;
+    std::uint64_t reads_ = 0;
+    std::uint64_t readBytes_ = 0;
+    std::uint64_t refused_ = 0;
+  };
+  struct Waiter
+  {
+    ServerRequest request_;
+    std::string stream_;
+    std::unique_ptr<common::Watch> timer_;
+  };
+  using Waiters = std::list<Waiter>;
+
+  void OnRequest(const ServerRequest& aRequest);
+  void OnControl(const ServerRequest& aRequest);
+  void OnCounts(const ServerRequest& aRequest);
+  void OnRecords(const ServerRequest& aRequest, const std::string& aStream);
+  void Append(const ServerRequest& aRequest, const std::string& aStream);
+  void Read(const ServerRequest& aRequest, const std::string& aStream);
+  void AnswerRead(const ServerRequest& aRequest, const std::string& aStream);
+  void StartWaiting(const ServerRequest& aRequest, const std::string& aStream);
+  void EndWaiting(Waiters::iterator aWaiter);
+  void WakeWaiters(const std::string& aStream);
+  void AnswerLater(std::shared_ptr<Responder> aResponder,
+                   int aStatus,
+                   HeaderMap aHeaders,
+                   std::string aBody);
+  bool TakeAppendToken();
+  bool LosesAnswer(const std::string& aStream);
+  Usage& UsageOf(const ServerRequest& aRequest, const std::string& aStream);
+
+  common::EventLoop& loop_;
+  LogBehaviour behaviour_;
+  LogStore store_;
+  std::map<std::pair<std::string, std::string>, Usage> usage_; //!< By client IP and stream.
+  Waiters waiters_;
+  std::list<std::shared_ptr<Responder>> unanswered_; //!< Held open during a silent outage.
+  double appendTokens_ = 0;
+  common::TimePoint tokensFilled_;
+  std::unique_ptr<common::Watch> expiry_;
+  HttpServer server_;
+};
+
+} // namespace dandelionstand::standins
+
+#endif // dandelionstand_standins_log_LogServer_h
--- /dev/null
+++ b/standins/log/LogStore.cpp
@@ -0,0 +1,67 @@
+#include "standins/log/LogStore.h"
+
+#include "dandelionstand/platform/RecordFrames.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionstand::standins {
+
+common::Offset LogStore::Append(const std::string& aStream,
+                                std::string aData,
+                                common::TimePoint aNow)
+{
+  Stream& stream = streams_[aStream];
+  stream.entries_.push_back({ std::move(aData), aNow });
+  const std::uint64_t offset = stream.first_ + stream.entries_.size() - 1;
+  Expire(aNow);
+  return common::Offset(offset);
+}
+
+std::string LogStore::ReadFrames(const std::string& aStream,
+                                 common::Offset aFrom,
+                                 std::size_t aMaxBytes)
+{
+  const Stream& stream = streams_[aStream];
+  std::string frames;
+  const std::uint64_t from = std::max(aFrom.Get(), stream.first_);
+  for (std::size_t index = from - stream.first_; index < stream.entries_.size(); ++index) {
+    if (frames.size() >= aMaxBytes) {
+      break;
+    }
+    const common::Offset offset(stream.first_ + index);
+    platform::AppendFrame({ offset, stream.entries_[index].data_ }, frames);
+  }
+  return frames;
+}
+
+common::Offset LogStore::First(const std::string& aStream)
+{
+  return common::Offset(streams_[aStream].first_);
+}
+
+common::Offset LogStore::Next(const std::string& aStream)
+{
+  const Stream& stream = streams_[aStream];
+  return common::Offset(stream.first_ + stream.entries_.size());
+}
+
+bool LogStore::IsExpired(const Stream& aStream, common::TimePoint aNow) const
+{
+  const bool isTooMany = retention_.records_ != 0 && aStream.entries_.size() > retention_.records_;
+  const bool isTooOld =
+    retention_.age_.count() != 0 && aNow - aStream.entries_.front().appended_ > retention_.age_;
+  return isTooMany || isTooOld;
+}
+
+void LogStore::Expire(common::TimePoint aNow)
+{
+  for (auto& [name, stream] : streams_) {
+    while (!stream.entries_.empty() && IsExpired(stream, aNow)) {
+      stream.entries_.pop_front();
+      ++stream.first_;
+    }
+  }
+}
+
+} // namespace dandelionstand::standins
--- /dev/null
+++ b/standins/target/Announcer.h
@@ -0,0 +1,46 @@
+#ifndef dandelionstand_standins_target_Announcer_h
+#define dandelionstand_standins_target_Announcer_h
+
+#include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/platform/HttpClient.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace dandelionstand::standins {
+
+//! Announces a target to the daemon beside it, and its leaving.
+class Announcer
+{
+public:
+  struct Settings
+  {
+    common::Address daemonAdmin_;
+    std::string service_;
+    common::Address target_;
+    common::Duration interval_ = std::chrono::milliseconds(500);
+  };
+
+  Announcer(common::EventLoop& aLoop, Settings aSettings);
+
+  //! Announces from now on, at once and at each interval.
+  void Start();
+  void SetReady(bool aIsReady);
+  //! Stops announcing; aOnDone is called when the daemon has taken note or does not answer.
+  void Leave(std::function<void()> aOnDone);
+
+private:
+  void Announce();
+  void Post(const std::string& aPath, bool aIsReady, platform::HttpClient::Callback aCallback);
+
+  common::EventLoop& loop_;
+  Settings settings_;
+  bool isReady_ = true;
+  platform::HttpClient client_;
+  std::unique_ptr<common::Watch> timer_;
+};
+
+} // namespace dandelionstand::standins
+
+#endif // dandelionstand_standins_target_Announcer_h
