Decide which work runs on a target and which endpoint an attempt goes to

Cause: nothing kept a target's slots exact or chose among endpoints.

SlotQueue gives a free slot to the waiting class with the least running work for its share, then to the least time left. Ruled out: plain earliest deadline over all classes (browsing with short time left starves orders), and hard partitions by class (idle shares would stand empty). EndpointPicker compares two random endpoints of the nearest tier that is not saturated. Ruled out: least loaded of all (every daemon would choose the same one on an old report).

--- /dev/null
+++ b/src/dandelionstand/target/ServiceTime.cpp
@@ -0,0 +1,25 @@
+#include "dandelionstand/target/ServiceTime.h"
+
+namespace dandelionstand::target {
+
+namespace {
+
+constexpr int kMeanDivisor = 8;
+constexpr int kDeviationDivisor = 4;
+
+} // namespace
+
+void ServiceTime::Add(common::Duration aSample)
+{
+  if (!hasSample_) {
+    hasSample_ = true;
+    mean_ = aSample;
+    deviation_ = aSample / 2;
+    return;
+  }
+  const common::Duration error = aSample - mean_;
+  mean_ += error / kMeanDivisor;
+  deviation_ += (std::chrono::abs(error) - deviation_) / kDeviationDivisor;
+}
+
+} // namespace dandelionstand::target
--- /dev/null
+++ b/src/dandelionstand/target/ServiceTime.h
@@ -0,0 +1,27 @@
+#ifndef dandelionstand_target_ServiceTime_h
+#define dandelionstand_target_ServiceTime_h
+
+#include "dandelionstand/common/Time.h"
+
+namespace dandelionstand::target {
+
+//! Running estimate of how long a target works on one request: mean and mean deviation.
+class ServiceTime
+{
+public:
+  void Add(common::Duration aSample);
+
+  //! 0 before the first sample.
+  common::Duration Mean() const { return mean_; }
+  //! Mean plus twice the mean deviation: what most requests stay below.
+  common::Duration Upper() const { return mean_ + 2 * deviation_; }
+
+private:
+  bool hasSample_ = false;
+  common::Duration mean_{ 0 };
+  common::Duration deviation_{ 0 };
+};
+
+} // namespace dandelionstand::target
+
+#endif // dandelionstand_target_ServiceTime_h
--- /dev/null
+++ b/tests/caller/EndpointPickerTests.cpp
@@ -0,0 +1,150 @@
+#include "dandelionstand/caller/EndpointPicker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand;
+using namespace dandelionstand::caller;
+using namespace std::chrono_literals;
+
+namespace {
+
+const common::TimePoint kStart{ 1h };
+constexpr std::uint64_t kSeed = 7;
+
+Endpoint MakeEndpoint(const std::string& aName,
+                      const std::string& aDomain,
+                      const std::string& aRegion,
+                      std::uint64_t aIncarnation = 1)
+{
+  return { common::InstanceId(aName),
+           common::Incarnation(aIncarnation),
+           common::Address("127.1.0.1:1"),
+           common::FailureDomain(aDomain),
+           common::Region(aRegion) };
+}
+
+EndpointPicker MakePicker(const std::vector<Endpoint>& aEndpoints)
+{
+  PickerSettings settings;
+  settings.failureDomain_ = common::FailureDomain("d1");
+  settings.region_ = common::Region("r1");
+  settings.slots_ = 4;
+  EndpointPicker picker(settings, kSeed);
+  picker.SetEndpoints(aEndpoints, kStart - 1min);
+  return picker;
+}
+
+const std::vector<Endpoint> kThreeTiers = { MakeEndpoint("near", "d1", "r1"),
+                                            MakeEndpoint("middle", "d2", "r1"),
+                                            MakeEndpoint("far", "d3", "r2") };
+
+std::vector<Endpoint> MakeOneTier(int aCount)
+{
+  std::vector<Endpoint> endpoints;
+  for (int i = 0; i < aCount; ++i) {
+    endpoints.push_back(MakeEndpoint("e" + std::to_string(i), "d1", "r1"));
+  }
+  return endpoints;
+}
+
+std::string PickName(EndpointPicker& aPicker, common::TimePoint aNow = kStart)
+{
+  const auto picked = aPicker.Pick({}, aNow);
+  return picked ? picked->instance_.Get() : "";
+}
+
+void Fail(EndpointPicker& aPicker,
+          const std::string& aName,
+          int aTimes,
+          common::TimePoint aNow = kStart)
+{
+  for (int i = 0; i < aTimes; ++i) {
+    aPicker.Started(common::InstanceId(aName), aNow);
+    aPicker.Ended(common::InstanceId(aName), AttemptResult::kFailed, aNow);
+  }
+}
+
+} // namespace
+
+TEST_CASE("The own failure domain goes first and other regions last", "[caller][picker]")
+{
+  EndpointPicker picker = MakePicker(kThreeTiers);
+  CHECK(PickName(picker) == "near");
+  picker.Reported(common::InstanceId("near"), { 4, 2, 4 }, kStart);
+  CHECK(PickName(picker) == "middle");
+  picker.Reported(common::InstanceId("middle"), { 4, 0, 4 }, kStart);
+  CHECK(PickName(picker) == "far");
+  picker.Reported(common::InstanceId("far"), { 4, 0, 4 }, kStart);
+  CHECK(PickName(picker) == "near");
+  CHECK(PickName(picker, kStart + 10s) == "near");
+}
+
+TEST_CASE("Own outstanding work spills before any report arrives", "[caller][picker]")
+{
+  EndpointPicker picker = MakePicker(kThreeTiers);
+  for (int i = 0; i < 4; ++i) {
+    picker.Started(common::InstanceId("near"), kStart);
+  }
+  CHECK(PickName(picker) == "middle");
+  picker.Ended(common::InstanceId("near"), AttemptResult::kAnswered, kStart);
+  CHECK(PickName(picker) == "near");
+}
+
+TEST_CASE("The less loaded of two random endpoints is chosen", "[caller][picker]")
+{
+  EndpointPicker picker = MakePicker(MakeOneTier(2));
+  picker.Reported(common::InstanceId("e0"), { 2, 0, 4 }, kStart);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(PickName(picker) == "e1");
+  }
+}
+
+TEST_CASE("An endpoint that was tried is not picked again", "[caller][picker]")
+{
+  EndpointPicker picker = MakePicker(MakeOneTier(2));
+  CHECK(picker.Pick({ common::InstanceId("e0") }, kStart)->instance_.Get() == "e1");
+  CHECK_FALSE(picker.Pick({ common::InstanceId("e0"), common::InstanceId("e1") }, kStart));
+}
+
+TEST_CASE("Failing endpoints are ejected up to the ceiling and come back", "[caller][picker]")
+{
+  EndpointPicker picker = MakePicker(MakeOneTier(4));
+  Fail(picker, "e0", 3);
+  Fail(picker, "e1", 3);
+  Fail(picker, "e2", 3);
+  CHECK(picker.Ejected(kStart) == 2);
+  for (int i = 0; i < 20; ++i) {
+    const std::string name = PickName(picker);
+    CHECK((name == "e2" || name == "e3"));
+  }
+  CHECK(picker.Ejected(kStart + 2s) == 0);
+  // The second ejection in a row lasts twice as long.
+  Fail(picker, "e0", 3, kStart + 2s);
+  CHECK(picker.Ejected(kStart + 5s) == 1);
+  CHECK(picker.Ejected(kStart + 6s) == 0);
+}
+
+TEST_CASE("An endpoint that is silent with work under way is avoided", "[caller][picker]")
+{
+  EndpointPicker picker = MakePicker(MakeOneTier(2));
+  picker.Started(common::InstanceId("e0"), kStart);
+  picker.Started(common::InstanceId("e1"), kStart + 900ms);
+  picker.Started(common::InstanceId("e1"), kStart + 900ms);
+  CHECK(PickName(picker, kStart + 900ms) == "e0");
+  CHECK(PickName(picker, kStart + 1s) == "e1");
+  picker.Progressed(common::InstanceId("e0"), kStart + 1s);
+  CHECK(PickName(picker, kStart + 1s) == "e0");
+}
+
+TEST_CASE("A new incarnation starts slowly", "[caller][picker]")
+{
+  EndpointPicker picker = MakePicker(MakeOneTier(2));
+  auto endpoints = MakeOneTier(2);
+  endpoints[0].incarnation_ = common::Incarnation(2);
+  picker.SetEndpoints(endpoints, kStart);
+  picker.Started(common::InstanceId("e0"), kStart);
+  picker.Started(common::InstanceId("e1"), kStart);
+  CHECK(picker.LoadOf(common::InstanceId("e0"), kStart) > 2.0);
+  CHECK(picker.LoadOf(common::InstanceId("e0"), kStart + 5s) == 0.25);
+  CHECK(picker.LoadOf(common::InstanceId("e1"), kStart) == 0.25);
+}
--- /dev/null
+++ b/tests/target/SlotQueueTests.cpp
@@ -0,0 +1,137 @@
+#include "dandelionstand/target/SlotQueue.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand;
+using namespace dandelionstand::target;
+using namespace std::chrono_literals;
+using config::TrafficClass;
+
+namespace {
+
+const common::TimePoint kStart{ 1h };
+
+Work MakeWork(std::uint64_t aNumber,
+              TrafficClass aClass = TrafficClass::kBrowse,
+              common::Duration aTimeLeft = 1s,
+              common::TimePoint aNow = kStart)
+{
+  return { { common::InstanceId("a"), common::Incarnation(1), common::RequestId(aNumber), 1 },
+           aClass,
+           aNow + aTimeLeft };
+}
+
+SlotQueue MakeWarmQueue(std::uint32_t aSlots, std::uint32_t aQueueLength)
+{
+  SlotQueue queue({ .slots_ = aSlots, .queueLength_ = aQueueLength });
+  queue.Ready(kStart - 1min);
+  return queue;
+}
+
+SlotActions Started(std::uint64_t aNumber)
+{
+  return { StartWork{ MakeWork(aNumber).key_ } };
+}
+
+SlotActions Refused(std::uint64_t aNumber, RefuseReason aReason)
+{
+  return { RefuseWork{ MakeWork(aNumber).key_, aReason } };
+}
+
+} // namespace
+
+TEST_CASE("No more work runs than there are slots, and the queue is short", "[target][slots]")
+{
+  SlotQueue queue = MakeWarmQueue(2, 1);
+  CHECK(queue.Offer(MakeWork(1), kStart) == Started(1));
+  CHECK(queue.Offer(MakeWork(2), kStart) == Started(2));
+  CHECK(queue.Offer(MakeWork(3), kStart).empty());
+  CHECK(queue.Offer(MakeWork(4), kStart) == Refused(4, RefuseReason::kQueueFull));
+  CHECK(queue.Running() == 2);
+  CHECK(queue.Finished(MakeWork(1).key_, kStart + 1ms) == Started(3));
+}
+
+TEST_CASE("A target that is not ready or drains starts nothing new", "[target][slots]")
+{
+  SlotQueue queue({ .slots_ = 2, .queueLength_ = 4 });
+  CHECK(queue.Offer(MakeWork(1), kStart) == Refused(1, RefuseReason::kNotReady));
+  queue.Ready(kStart - 1min);
+  queue.Offer(MakeWork(2, TrafficClass::kBrowse, 1min), kStart);
+  queue.Offer(MakeWork(3, TrafficClass::kBrowse, 1min), kStart);
+  queue.Offer(MakeWork(4, TrafficClass::kBrowse, 1min), kStart);
+  queue.Offer(MakeWork(5, TrafficClass::kBrowse, 1min), kStart);
+  queue.Drain(kStart);
+  CHECK(queue.Offer(MakeWork(6), kStart) == Refused(6, RefuseReason::kDraining));
+  SECTION("waiting work still runs")
+  {
+    CHECK(queue.Finished(MakeWork(2).key_, kStart) == Started(4));
+  }
+  SECTION("waiting work is refused when the drain takes long")
+  {
+    CHECK(queue.Tick(kStart + 900ms).empty());
+    CHECK(queue.Tick(kStart + 1s).size() == 2);
+    CHECK(queue.Queued() == 0);
+    CHECK(queue.Finished(MakeWork(2).key_, kStart + 2s).empty());
+  }
+}
+
+TEST_CASE("Work that cannot make its deadline is refused before it runs", "[target][slots]")
+{
+  SlotQueue queue = MakeWarmQueue(1, 8);
+  queue.Offer(MakeWork(1), kStart);
+  queue.Finished(MakeWork(1).key_, kStart + 100ms);
+  CHECK(queue.Offer(MakeWork(2, TrafficClass::kBrowse, 50ms), kStart) ==
+        Refused(2, RefuseReason::kHopeless));
+  CHECK(queue.Offer(MakeWork(3), kStart) == Started(3));
+  CHECK(queue.Offer(MakeWork(4, TrafficClass::kBrowse, 250ms), kStart) ==
+        Refused(4, RefuseReason::kHopeless));
+  CHECK(queue.Offer(MakeWork(5, TrafficClass::kBrowse, 400ms), kStart).empty());
+  CHECK(queue.Tick(kStart + 301ms) == Refused(5, RefuseReason::kHopeless));
+}
+
+TEST_CASE("Orders and look-ups keep their shares when browsing floods the queue", "[target][slots]")
+{
+  SlotQueue queue = MakeWarmQueue(10, 10);
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    queue.Offer(MakeWork(i), kStart);
+  }
+  REQUIRE(queue.Running() == 10);
+  const SlotActions actions = queue.Offer(MakeWork(100, TrafficClass::kOrder, 2s), kStart);
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<RefuseWork>(actions[0]).reason_ == RefuseReason::kQueueFull);
+  CHECK(std::get<RefuseWork>(actions[0]).key_ != MakeWork(100).key_);
+  CHECK(queue.Finished(MakeWork(0).key_, kStart) == Started(100));
+}
+
+TEST_CASE("Within a class the least time left goes first", "[target][slots]")
+{
+  SlotQueue queue = MakeWarmQueue(1, 8);
+  queue.Offer(MakeWork(1), kStart);
+  queue.Offer(MakeWork(2, TrafficClass::kBrowse, 900ms), kStart);
+  queue.Offer(MakeWork(3, TrafficClass::kBrowse, 500ms), kStart);
+  CHECK(queue.Finished(MakeWork(1).key_, kStart) == Started(3));
+}
+
+TEST_CASE("A cold target takes a growing share of its slots", "[target][slots]")
+{
+  SlotQueue queue({ .slots_ = 8, .queueLength_ = 20, .coldStart_ = 8s });
+  queue.Ready(kStart);
+  for (std::uint64_t i = 0; i < 16; ++i) {
+    queue.Offer(MakeWork(i, TrafficClass::kBrowse, 1min), kStart);
+  }
+  CHECK(queue.Running() == 2);
+  queue.Tick(kStart + 4s);
+  CHECK(queue.Running() == 4);
+  queue.Tick(kStart + 8s);
+  CHECK(queue.Running() == 8);
+}
+
+TEST_CASE("Downloads leave slots for short requests", "[target][slots]")
+{
+  SlotQueue queue = MakeWarmQueue(4, 8);
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    queue.Offer(MakeWork(i, TrafficClass::kDownload), kStart);
+  }
+  CHECK(queue.Running() == 3);
+  CHECK(queue.Offer(MakeWork(9, TrafficClass::kLookup), kStart) == Started(9));
+}
