Add the pure parts of the load library

Open-loop schedule, mixes of both users, log-axis histogram, answer check, order audit, tables, SVG plots and least squares.

Cause: latency counted from the moment of sending hides queues that form at the sender, so arrival times are fixed by the seed before any answer is seen. Ruled out: a closed loop of workers (coordinated omission), and a plotting program as a dependency (SVG is written directly). Before: no load library. Conclusion: the HTTP client can be built around these parts.

--- /dev/null
+++ b/src/dandelionstand/load/Mix.cpp
@@ -0,0 +1,159 @@
+#include "dandelionstand/load/Mix.h"
+
+#include <array>
+#include <sstream>
+#include <utility>
+
+namespace dandelionstand::load {
+
+using config::TrafficClass;
+
+namespace {
+
+constexpr std::uint64_t kPageBytes = 4096;
+constexpr std::uint64_t kLookupBytes = 1024;
+constexpr std::uint64_t kFileBytes = 1'048'576;
+
+constexpr std::array kTrafficClasses = { TrafficClass::kOrder,
+                                         TrafficClass::kLookup,
+                                         TrafficClass::kDownload,
+                                         TrafficClass::kBrowse };
+
+struct Prefixes
+{
+  std::string browse_;
+  std::string lookup_;
+  std::string order_;
+  std::string download_;
+};
+
+std::vector<CallClass> MakeClasses(const Prefixes& aPrefixes)
+{
+  return {
+    { TrafficClass::kBrowse, "GET", aPrefixes.browse_, 60, false, kPageBytes },
+    { TrafficClass::kLookup, "GET", aPrefixes.lookup_, 35, false, kLookupBytes },
+    { TrafficClass::kOrder, "POST", aPrefixes.order_, 4, true, 0 },
+    { TrafficClass::kDownload, "GET", aPrefixes.download_, 1, false, kFileBytes },
+  };
+}
+
+std::optional<TrafficClass> ParseClass(const std::string& aName)
+{
+  for (const TrafficClass value : kTrafficClasses) {
+    if (ToString(value) == aName) {
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
+bool ParseWeight(const std::string& aText, std::uint32_t& aWeight)
+{
+  std::istringstream stream(aText);
+  stream >> aWeight;
+  return !stream.fail() && stream.eof();
+}
+
+bool ApplyWeight(const std::string& aItem, std::vector<CallClass>& aClasses)
+{
+  const std::size_t equals = aItem.find('=');
+  if (equals == std::string::npos) {
+    return false;
+  }
+  const std::optional<TrafficClass> name = ParseClass(aItem.substr(0, equals));
+  std::uint32_t weight = 0;
+  if (!name || !ParseWeight(aItem.substr(equals + 1), weight)) {
+    return false;
+  }
+  for (CallClass& callClass : aClasses) {
+    if (callClass.trafficClass_ == *name) {
+      callClass.weight_ = weight;
+    }
+  }
+  return true;
+}
+
+std::vector<double> WeightsOf(const std::vector<CallClass>& aClasses)
+{
+  std::vector<double> weights;
+  for (const CallClass& callClass : aClasses) {
+    weights.push_back(callClass.weight_);
+  }
+  return weights;
+}
+
+} // namespace
+
+std::string ToString(TrafficClass aClass)
+{
+  switch (aClass) {
+    case TrafficClass::kOrder:
+      return "order";
+    case TrafficClass::kLookup:
+      return "lookup";
+    case TrafficClass::kDownload:
+      return "download";
+    case TrafficClass::kBrowse:
+      return "browse";
+  }
+  return "browse";
+}
+
+Mix::Mix(std::vector<CallClass> aClasses, std::string aRunName, std::uint64_t aSeed)
+  : classes_(std::move(aClasses))
+  , runName_(std::move(aRunName))
+  , random_(aSeed)
+{
+  const std::vector<double> weights = WeightsOf(classes_);
+  weights_ = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
+}
+
+CallPlan Mix::Next()
+{
+  CallPlan plan;
+  plan.class_ = weights_(random_);
+  const CallClass& callClass = classes_[plan.class_];
+  const std::string number = std::to_string(++count_);
+  plan.method_ = callClass.method_;
+  plan.path_ = callClass.pathPrefix_ + "/" + number;
+  plan.identity_ = runName_ + "-" + number;
+  plan.answerBytes_ = callClass.answerBytes_;
+  if (callClass.isKeyed_) {
+    plan.idempotencyKey_ = "key-" + plan.identity_;
+  }
+  return plan;
+}
+
+std::optional<std::vector<CallClass>> ClassesOfUser(const std::string& aUser)
+{
+  if (aUser == "zafukreis") {
+    return MakeClasses({ "/katalog", "/bestellung/status", "/bestellung", "/schnittmuster" });
+  }
+  if (aUser == "blue-mahoe") {
+    return MakeClasses({ "/orderbook", "/orderbook/status", "/reorder-desk", "/proofroom" });
+  }
+  return std::nullopt;
+}
+
+bool ApplyWeights(const std::string& aText, std::vector<CallClass>& aClasses)
+{
+  std::vector<CallClass> changed = aClasses;
+  for (CallClass& callClass : changed) {
+    callClass.weight_ = 0;
+  }
+  std::istringstream stream(aText);
+  std::string item;
+  bool hasWeight = false;
+  while (std::getline(stream, item, ',')) {
+    if (!ApplyWeight(item, changed)) {
+      return false;
+    }
+    hasWeight = true;
+  }
+  if (hasWeight) {
+    aClasses = std::move(changed);
+  }
+  return hasWeight;
+}
+
+} // namespace dandelionstand::load
--- /dev/null
+++ b/src/dandelionstand/load/OrderAudit.h
@@ -0,0 +1,63 @@
+#ifndef dandelionstand_load_OrderAudit_h
+#define dandelionstand_load_OrderAudit_h
+
+#include "dandelionstand/load/AnswerCheck.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelionstand::load {
+
+//! What the caller of an order was told last.
+struct OrderOutcome
+{
+  std::string idempotencyKey_;
+  Verdict verdict_ = Verdict::kNoAnswer;
+  RunState runState_ = RunState::kUnknown; //!< Meaningful if refused.
+};
+
+//! Runs of one order at one target.
+struct OrderRuns
+{
+  std::string idempotencyKey_;
+  std::uint64_t runs_ = 0;
+};
+
+//! Orders whose runs contradict what was promised.
+struct OrderFaults
+{
+  std::vector<std::string> ranTwice_;
+  std::vector<std::string> ranThoughNotRun_;    //!< Refused as not run, yet run.
+  std::vector<std::string> answeredWithoutRun_; //!< Answered whole, yet no target counts a run.
+
+  bool IsEmpty() const;
+};
+
+//! Sets what callers were told beside what the targets did.
+class OrderAudit
+{
+public:
+  void AddOutcome(OrderOutcome aOutcome);
+  //! Adds one target's count; counts of several targets add up.
+  void AddRuns(const OrderRuns& aRuns);
+  //! Marks that a target's count could not be read, so a missing run proves nothing.
+  void MarkIncomplete() { isComplete_ = false; }
+
+  std::uint64_t OrderCount() const { return outcomes_.size(); }
+  std::uint64_t RunCount() const;
+  bool IsComplete() const { return isComplete_; }
+  OrderFaults FindFaults() const;
+
+private:
+  std::uint64_t RunsOf(const std::string& aKey) const;
+
+  std::vector<OrderOutcome> outcomes_;
+  std::map<std::string, std::uint64_t> runs_;
+  bool isComplete_ = true;
+};
+
+} // namespace dandelionstand::load
+
+#endif // dandelionstand_load_OrderAudit_h
--- /dev/null
+++ b/tests/load/OrderAuditTests.cpp
@@ -0,0 +1,40 @@
+#include "dandelionstand/load/OrderAudit.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand::load;
+
+TEST_CASE("Runs at several targets add up to a doubled order", "[load][orders]")
+{
+  OrderAudit audit;
+  audit.AddOutcome({ "a", Verdict::kWhole, RunState::kUnknown });
+  audit.AddOutcome({ "b", Verdict::kWhole, RunState::kUnknown });
+  audit.AddRuns({ "a", 1 });
+  audit.AddRuns({ "b", 1 });
+  CHECK(audit.FindFaults().IsEmpty());
+
+  audit.AddRuns({ "a", 1 });
+  CHECK(audit.FindFaults().ranTwice_ == std::vector<std::string>{ "a" });
+  CHECK(audit.RunCount() == 3);
+}
+
+TEST_CASE("A refusal as not run is untrue if the order ran", "[load][orders]")
+{
+  OrderAudit audit;
+  audit.AddOutcome({ "a", Verdict::kRefused, RunState::kNotRun });
+  audit.AddOutcome({ "b", Verdict::kRefused, RunState::kUnknown });
+  audit.AddRuns({ "b", 1 });
+  CHECK(audit.FindFaults().IsEmpty());
+
+  audit.AddRuns({ "a", 1 });
+  CHECK(audit.FindFaults().ranThoughNotRun_ == std::vector<std::string>{ "a" });
+}
+
+TEST_CASE("An order answered without a run counts only if every target was asked", "[load][orders]")
+{
+  OrderAudit audit;
+  audit.AddOutcome({ "a", Verdict::kWhole, RunState::kUnknown });
+  CHECK(audit.FindFaults().answeredWithoutRun_ == std::vector<std::string>{ "a" });
+  audit.MarkIncomplete();
+  CHECK(audit.FindFaults().IsEmpty());
+}
