--- a/standins/ControlReader.cpp
+++ b/standins/ControlReader.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <stdexcept>
+#include <utility>
 
 namespace dandelionstand::standins {
 
@@ -23,7 +24,12 @@
 } // namespace
 
 ControlReader::ControlReader(const std::string& aText)
-  : object_(nlohmann::json::parse(aText, nullptr, false))
+  : ControlReader(nlohmann::json::parse(aText, nullptr, false))
+{
+}
+
+ControlReader::ControlReader(nlohmann::json aObject)
+  : object_(std::move(aObject))
 {
   if (!object_.is_object()) {
     throw std::invalid_argument("not a JSON object");
--- a/standins/ControlReader.h
+++ b/standins/ControlReader.h
@@ -18,6 +18,8 @@
 public:
   //! Throws std::invalid_argument if the text is not a JSON object.
   explicit ControlReader(const std::string& aText);
+  //! Throws std::invalid_argument if the value is not an object.
+  explicit ControlReader(nlohmann::json aObject);
 
   void Read(const char* aKey, std::uint64_t& aValue);
   void Read(const char* aKey, bool& aValue);
--- a/standins/target/Announcer.cpp
+++ b/standins/target/Announcer.cpp
@@ -56,6 +56,7 @@
                                 { "ready", aIsReady } };
   client_.Send({ .method_ = platform::HttpMethod::kPost,
                  .target_ = aPath,
+                 .headers_ = { { "Content-Type", "application/json" } },
                  .body_ = body.dump(),
                  .timeout_ = kTimeout,
                  .onBody_ = nullptr },
--- /dev/null
+++ b/tests/support/Tcp.cpp
@@ -0,0 +1,163 @@
+#include "tests/support/Tcp.h"
+
+#include "tests/support/Net.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+namespace dandelionstand::tests {
+
+namespace {
+
+constexpr std::size_t kPieceBytes = 65'536;
+constexpr int kBacklog = 16;
+
+using Clock = std::chrono::steady_clock;
+
+sockaddr_in ToSocketAddress(const std::string& aIp, int aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  if (inet_pton(AF_INET, aIp.c_str(), &address.sin_addr) != 1) {
+    throw std::invalid_argument("not an IP number: " + aIp);
+  }
+  return address;
+}
+
+sockaddr_in ToSocketAddress(const common::Address& aAddress)
+{
+  const std::string& text = aAddress.Get();
+  const std::size_t colon = text.rfind(':');
+  return ToSocketAddress(text.substr(0, colon), std::stoi(text.substr(colon + 1)));
+}
+
+[[noreturn]] void Throw(const std::string& aWhat)
+{
+  throw std::runtime_error(aWhat + ": " + std::strerror(errno));
+}
+
+bool WaitReadable(int aDescriptor, Clock::time_point aEnd)
+{
+  const auto left =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aEnd - Clock::now()).count();
+  pollfd waited{ aDescriptor, POLLIN, 0 };
+  return poll(&waited, 1, static_cast<int>(std::max<long>(left, 0))) > 0;
+}
+
+} // namespace
+
+TcpStream::TcpStream(int aDescriptor)
+  : descriptor_(aDescriptor)
+{
+}
+
+TcpStream::TcpStream(const common::Address& aAddress, const std::string& aSourceIp)
+  : descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  const sockaddr_in source = ToSocketAddress(aSourceIp.empty() ? "0.0.0.0" : aSourceIp, 0);
+  const sockaddr_in address = ToSocketAddress(aAddress);
+  if (bind(descriptor_, reinterpret_cast<const sockaddr*>(&source), sizeof(source)) != 0 ||
+      connect(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    const int error = errno;
+    close(descriptor_);
+    errno = error;
+    Throw("connect to " + aAddress.Get());
+  }
+}
+
+TcpStream::~TcpStream()
+{
+  if (descriptor_ >= 0) {
+    close(descriptor_);
+  }
+}
+
+TcpStream::TcpStream(TcpStream&& aOther) noexcept
+  : descriptor_(std::exchange(aOther.descriptor_, -1))
+{
+}
+
+bool TcpStream::Send(const std::string& aBytes)
+{
+  std::size_t sent = 0;
+  while (sent < aBytes.size()) {
+    const ssize_t now = send(descriptor_, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+    if (now <= 0) {
+      return false;
+    }
+    sent += static_cast<std::size_t>(now);
+  }
+  return true;
+}
+
+std::string TcpStream::Receive(std::size_t aBytes, std::chrono::milliseconds aDeadline)
+{
+  const Clock::time_point end = Clock::now() + aDeadline;
+  std::string received;
+  while (received.size() < aBytes && WaitReadable(descriptor_, end)) {
+    std::string piece(std::min(aBytes - received.size(), kPieceBytes), '\0');
+    const ssize_t now = recv(descriptor_, piece.data(), piece.size(), 0);
+    if (now <= 0) {
+      break;
+    }
+    received.append(piece, 0, static_cast<std::size_t>(now));
+  }
+  return received;
+}
+
+std::optional<std::string> TcpStream::ReceiveToEnd(std::chrono::milliseconds aDeadline)
+{
+  const Clock::time_point end = Clock::now() + aDeadline;
+  std::string received;
+  while (WaitReadable(descriptor_, end)) {
+    std::string piece(kPieceBytes, '\0');
+    const ssize_t now = recv(descriptor_, piece.data(), piece.size(), 0);
+    if (now <= 0) {
+      return received;
+    }
+    received.append(piece, 0, static_cast<std::size_t>(now));
+  }
+  return std::nullopt;
+}
+
+void TcpStream::EndSending()
+{
+  shutdown(descriptor_, SHUT_WR);
+}
+
+TcpListener::TcpListener(const std::string& aIp)
+  : descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  , address_(FreeAddress(aIp))
+{
+  const sockaddr_in address = ToSocketAddress(address_);
+  if (bind(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
+      listen(descriptor_, kBacklog) != 0) {
+    close(descriptor_);
+    Throw("listen on " + address_.Get());
+  }
+}
+
+TcpListener::~TcpListener()
+{
+  close(descriptor_);
+}
+
+std::optional<TcpStream> TcpListener::Accept(std::chrono::milliseconds aDeadline)
+{
+  if (!WaitReadable(descriptor_, Clock::now() + aDeadline)) {
+    return std::nullopt;
+  }
+  return TcpStream(accept4(descriptor_, nullptr, nullptr, SOCK_CLOEXEC));
+}
+
+} // namespace dandelionstand::tests
