--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -62,7 +62,7 @@
 Daemon::Daemon(const Settings& aSettings)
   : settings_(aSettings)
   , incarnation_(common::NewIncarnationNumber())
-  , log_(loop_, LogSettingsOf(aSettings))
+  , log_(loop_, LogSettingsOf(aSettings), counters_)
   , transport_(loop_, counters_, TransportSettingsOf(aSettings, incarnation_))
   , directory_(loop_, log_, MemberOf(aSettings, incarnation_))
   , configReader_(loop_, counters_, log_)
