Refuse JSON that is nested too deep and keys below an array

Cause: the reader followed a pointer through an array by std::stoul and threw on the document [1]; each element of a nested document keeps its whole pointer, so memory grew with the square of the depth. Ruled out: catching the exception, which would lose the finding. Before: a test with [1] ended in 'stoul'. After: one finding; nesting ends at 32 levels.

--- a/src/dandelionstand/common/JsonReader.cpp
+++ b/src/dandelionstand/common/JsonReader.cpp
@@ -11,7 +11,7 @@
 
 const json kEmptyObject = json::object();
 
-//! Follows a pointer by plain keys; null if a part is absent.
+//! Follows a pointer through objects; null if a part is absent or no object.
 const json* Follow(const json& aRoot, const std::string& aPointer)
 {
   const json* current = &aRoot;
@@ -19,17 +19,11 @@
   while (start < aPointer.size()) {
     const std::size_t next = aPointer.find('/', start + 1);
     const std::string key = aPointer.substr(start + 1, next - start - 1);
-    if (current->is_object()) {
-      const auto found = current->find(key);
-      if (found == current->end()) {
-        return nullptr;
-      }
-      current = &*found;
-    } else if (current->is_array()) {
-      current = &current->at(std::stoul(key));
-    } else {
+    const auto found = current->is_object() ? current->find(key) : current->end();
+    if (found == current->end()) {
       return nullptr;
     }
+    current = &*found;
     start = next == std::string::npos ? aPointer.size() : next;
   }
   return current;
--- a/src/dandelionstand/common/LocatedJson.cpp
+++ b/src/dandelionstand/common/LocatedJson.cpp
@@ -13,6 +13,9 @@
 
 using nlohmann::json;
 
+//! Deepest nesting that is read; the pointers of deeper documents would need too much memory.
+constexpr std::size_t kMaxDepth = 32;
+
 //! Input iterator that counts the lines which the parser has consumed.
 class LineCountingIterator
 {
@@ -145,6 +148,11 @@
 
   bool Open(json aValue)
   {
+    if (levels_.size() == kMaxDepth) {
+      findings_.Add({ document_.source_, line_, "" },
+                    "is nested more than " + std::to_string(kMaxDepth) + " levels deep");
+      return false;
+    }
     json* placed = Insert(std::move(aValue));
     levels_.push_back({ placed, "", {} });
     return true;
--- a/tests/common/JsonReaderTests.cpp
+++ b/tests/common/JsonReaderTests.cpp
@@ -47,3 +47,20 @@
   limits.Object("a").Number("slots", 1, { 1, 10 });
   CHECK(findings.ToString() == "a.json:1: limits.a.slots: must be a whole number from 1 to 10\n");
 }
+
+TEST_CASE("A document that is nested too deep is refused", "[common][json]")
+{
+  Findings findings;
+  const LocatedJson document = ParseLocatedJson(std::string(100'000, '['), "a.json", findings);
+  CHECK(findings.ToString() == "a.json:1: is nested more than 32 levels deep\n");
+  CHECK(document.value_.is_null());
+}
+
+TEST_CASE("Keys below an array read as absent", "[common][json]")
+{
+  Findings findings;
+  const LocatedJson document = ParseLocatedJson("[1]", "a.json", findings);
+  JsonReader reader(document, "", findings);
+  CHECK(reader.Object("limits").Keys().empty());
+  CHECK(findings.ToString() == "a.json: must be an object\n");
+}
