Read documents, build publish records and decide which are accepted

Cause: nothing could be published or accepted yet. What: ParseDocument with findings at file, line and path; the record of the difference between a state and a document; the acceptance rule. A deletion leaves a tombstone for 10,000 offsets and a record built on an older state is refused, so that a late copy of a record cannot bring a deleted resource back. Ruled out: a base of 0 for each creation without tombstones (a late copy resurrects); tombstones for ever (they grow without bound).

--- /dev/null
+++ b/src/dandelionstand/config/Acceptance.cpp
@@ -0,0 +1,155 @@
+#include "dandelionstand/config/Acceptance.h"
+
+#include "dandelionstand/config/StreamRecord.h"
+#include "dandelionstand/config/Validate.h"
+
+#include <optional>
+
+namespace dandelionstand::config {
+
+namespace {
+
+using common::Version;
+
+//! Evaluates one publish record against one state.
+class Acceptor
+{
+public:
+  Acceptor(const ConfigState& aCurrent, common::Offset aOffset, AcceptResult& aResult)
+    : current_(aCurrent)
+    , version_(aOffset.Get())
+    , source_("record " + std::to_string(aOffset.Get()))
+    , result_(aResult)
+  {
+  }
+
+  void Run(const std::string& aData)
+  {
+    const std::optional<StreamRecord> frame = DecodeStreamRecord(aData, source_, result_.findings_);
+    if (!frame) {
+      result_.outcome_ = AcceptOutcome::kGarbage;
+      return;
+    }
+    if (frame->kind_ == RecordKind::kSnapshot) {
+      result_.outcome_ = AcceptOutcome::kSnapshot;
+      return;
+    }
+    result_.record_ = DecodePublishRecord(frame->body_, source_, result_.findings_);
+    CheckBuiltOn();
+    FindConflicts();
+    Decide();
+  }
+
+private:
+  void CheckBuiltOn()
+  {
+    const Version builtOn = result_.record_.builtOn_;
+    if (builtOn >= version_) {
+      result_.findings_.Add({ source_, 0, "built_on" }, "must be below the record's own offset");
+    } else if (version_.Get() - builtOn.Get() > kBaseWindow) {
+      result_.findings_.Add({ source_, 0, "built_on" },
+                            "is more than " + std::to_string(kBaseWindow) + " offsets old");
+    }
+  }
+
+  void FindConflicts()
+  {
+    for (const Change& change : result_.record_.changes_) {
+      const std::optional<Conflict> conflict = ConflictOf(change);
+      if (conflict) {
+        result_.conflicts_.push_back(*conflict);
+      }
+    }
+  }
+
+  std::optional<Conflict> ConflictOf(const Change& aChange)
+  {
+    const std::optional<Resource> present = current_.Find(aChange.key_);
+    if (present) {
+      const bool isCurrent = present->version_ == aChange.base_;
+      return isCurrent ? std::nullopt
+                       : std::make_optional(
+                           Conflict{ aChange.key_, aChange.base_, present->version_, false });
+    }
+    if (aChange.base_ == Version(0) && !aChange.value_) {
+      result_.findings_.Add({ source_, 0, aChange.key_.ToString() }, "is deleted but never was");
+      return std::nullopt;
+    }
+    return ConflictOfAbsent(aChange);
+  }
+
+  std::optional<Conflict> ConflictOfAbsent(const Change& aChange) const
+  {
+    const auto tombstone = current_.deleted_.find(aChange.key_);
+    const Version deletedBy = tombstone == current_.deleted_.end() ? Version(0) : tombstone->second;
+    const bool sawDeletion = deletedBy <= result_.record_.builtOn_;
+    if (aChange.base_ == Version(0) && sawDeletion) {
+      return std::nullopt;
+    }
+    return Conflict{ aChange.key_, aChange.base_, deletedBy, true };
+  }
+
+  void Decide()
+  {
+    const ConfigStatePtr next = Next();
+    Validate(*next, PlacesIn(source_), result_.findings_);
+    const bool isValid = result_.findings_.IsEmpty();
+    AddConflictFindings();
+    if (!result_.conflicts_.empty()) {
+      result_.outcome_ = AcceptOutcome::kConflict;
+    } else if (!isValid) {
+      result_.outcome_ = AcceptOutcome::kInvalid;
+    } else {
+      result_.outcome_ = AcceptOutcome::kAccepted;
+      result_.next_ = next;
+    }
+  }
+
+  ConfigStatePtr Next() const
+  {
+    auto next = std::make_shared<ConfigState>(current_);
+    next->version_ = version_;
+    for (const Change& change : result_.record_.changes_) {
+      if (change.value_) {
+        next->Put({ change.key_, *change.value_, version_ });
+      } else {
+        next->Erase(change.key_, version_);
+      }
+    }
+    std::erase_if(next->deleted_, [this](const auto& aTombstone) {
+      return version_.Get() - aTombstone.second.Get() > kBaseWindow;
+    });
+    return next;
+  }
+
+  void AddConflictFindings()
+  {
+    for (const Conflict& conflict : result_.conflicts_) {
+      const std::string verb = conflict.isDeleted_ ? "was deleted by version " : "is at version ";
+      result_.findings_.Add({ source_, 0, conflict.key_.ToString() },
+                            verb + std::to_string(conflict.current_.Get()) +
+                              ", the change was based on version " +
+                              std::to_string(conflict.base_.Get()));
+    }
+  }
+
+  const ConfigState& current_;
+  const Version version_;
+  const std::string source_;
+  AcceptResult& result_;
+};
+
+} // namespace
+
+AcceptResult Accept(const ConfigState& aCurrent, common::Offset aOffset, const std::string& aRecord)
+{
+  AcceptResult result;
+  if (aOffset.Get() <= aCurrent.version_.Get()) {
+    result.outcome_ = AcceptOutcome::kOld;
+    return result;
+  }
+  Acceptor(aCurrent, aOffset, result).Run(aRecord);
+  return result;
+}
+
+} // namespace dandelionstand::config
--- a/src/dandelionstand/config/ConfigState.cpp
+++ b/src/dandelionstand/config/ConfigState.cpp
@@ -4,6 +4,36 @@
 
 namespace dandelionstand::config {
 
+namespace {
+
+template<typename Map>
+void ListInto(std::vector<Resource>& aList, ResourceKind aKind, const Map& aMap)
+{
+  for (const auto& [name, versioned] : aMap) {
+    aList.push_back({ { aKind, name.Get() }, versioned.value_, versioned.version_ });
+  }
+}
+
+template<typename Map>
+std::optional<Resource> FindIn(const Map& aMap, const ResourceKey& aKey)
+{
+  const auto found = aMap.find(typename Map::key_type(aKey.name_));
+  if (found == aMap.end()) {
+    return std::nullopt;
+  }
+  return Resource{ aKey, found->second.value_, found->second.version_ };
+}
+
+template<typename Map>
+void PutInto(Map& aMap, const Resource& aResource)
+{
+  using Value = decltype(Map::mapped_type::value_);
+  aMap[typename Map::key_type(aResource.key_.name_)] = { std::get<Value>(aResource.value_),
+                                                         aResource.version_ };
+}
+
+} // namespace
+
 const std::pair<const RouteName, Versioned<Route>>* ConfigState::Match(
   const std::string& aMethod,
   const std::string& aPath) const
@@ -23,4 +53,55 @@
   return best;
 }
 
+std::vector<Resource> ConfigState::Resources() const
+{
+  std::vector<Resource> list;
+  ListInto(list, ResourceKind::kLimits, limits_);
+  ListInto(list, ResourceKind::kEndpoints, endpoints_);
+  ListInto(list, ResourceKind::kRoute, routes_);
+  return list;
+}
+
+std::optional<Resource> ConfigState::Find(const ResourceKey& aKey) const
+{
+  switch (aKey.kind_) {
+    case ResourceKind::kLimits:
+      return FindIn(limits_, aKey);
+    case ResourceKind::kEndpoints:
+      return FindIn(endpoints_, aKey);
+    case ResourceKind::kRoute:
+      return FindIn(routes_, aKey);
+  }
+  return std::nullopt;
+}
+
+void ConfigState::Put(const Resource& aResource)
+{
+  deleted_.erase(aResource.key_);
+  switch (aResource.key_.kind_) {
+    case ResourceKind::kLimits:
+      return PutInto(limits_, aResource);
+    case ResourceKind::kEndpoints:
+      return PutInto(endpoints_, aResource);
+    case ResourceKind::kRoute:
+      return PutInto(routes_, aResource);
+  }
+}
+
+void ConfigState::Erase(const ResourceKey& aKey, common::Version aVersion)
+{
+  deleted_[aKey] = aVersion;
+  switch (aKey.kind_) {
+    case ResourceKind::kLimits:
+      limits_.erase(LimitsName(aKey.name_));
+      return;
+    case ResourceKind::kEndpoints:
+      endpoints_.erase(common::ServiceName(aKey.name_));
+      return;
+    case ResourceKind::kRoute:
+      routes_.erase(RouteName(aKey.name_));
+      return;
+  }
+}
+
 } // namespace dandelionstand::config
--- a/src/dandelionstand/config/Resources.h
+++ b/src/dandelionstand/config/Resources.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace dandelionstand::config {
@@ -13,6 +14,28 @@
 using LimitsName = common::StrongId<struct LimitsNameTag, std::string>;
 using RouteName = common::StrongId<struct RouteNameTag, std::string>;
 
+enum class ResourceKind
+{
+  kLimits,
+  kEndpoints,
+  kRoute,
+};
+
+//! Names one resource among all kinds.
+struct ResourceKey
+{
+  ResourceKind kind_;
+  std::string name_;
+
+  auto operator<=>(const ResourceKey&) const = default;
+
+  //! Written as in a document: "limits.katalog".
+  std::string ToString() const;
+};
+
+//! Name of the section of a document that holds the resources of a kind.
+const char* SectionName(ResourceKind aKind);
+
 //! What may be done with a request whose outcome is unknown.
 enum class Idempotency
 {
@@ -63,6 +86,11 @@
   bool operator==(const Route&) const = default;
 };
 
+//! The value of a resource of any kind; the alternatives are in the order of ResourceKind.
+using ResourceValue = std::variant<Limits, Endpoints, Route>;
+
+ResourceKind KindOf(const ResourceValue& aValue);
+
 } // namespace dandelionstand::config
 
 #endif // dandelionstand_config_Resources_h
--- /dev/null
+++ b/src/dandelionstand/config/WireResource.h
@@ -0,0 +1,23 @@
+#ifndef dandelionstand_config_WireResource_h
+#define dandelionstand_config_WireResource_h
+
+#include "dandelionstand/common/Findings.h"
+#include "dandelionstand/config/ConfigState.h"
+#include "dandelionstand/config/generated/records.pb.h"
+
+#include <optional>
+#include <string>
+
+namespace dandelionstand::config {
+
+wire::ResourceKind ToWire(ResourceKind aKind);
+
+//! Reads kind and name; empty with a finding if either is not valid.
+std::optional<ResourceKey> KeyFromWire(wire::ResourceKind aKind,
+                                       const std::string& aName,
+                                       const std::string& aSource,
+                                       common::Findings& aFindings);
+
+} // namespace dandelionstand::config
+
+#endif // dandelionstand_config_WireResource_h
