--- /dev/null
+++ b/tests/daemon/SettingsTests.cpp
@@ -0,0 +1,67 @@
+#include "dandelionstand/daemon/Settings.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace dandelionstand;
+
+namespace {
+
+const std::string kGood = R"({
+  // one daemon
+  "instance": "katalog-1",
+  "failure_domain": "ostalpen-a",
+  "region": "ostalpen",
+  "callers": { "listen": "127.1.0.1:7000" },
+  "admin": { "listen": "127.1.0.1:7001" },
+  "peers": { "listen": "127.1.0.1:7002", "seeds": [ "127.2.0.1:7002" ] },
+  "log": { "address": "127.0.0.1:9000" }
+})";
+
+std::string Replace(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  const std::size_t found = aText.find(aOld);
+  REQUIRE(found != std::string::npos);
+  return aText.replace(found, aOld.size(), aNew);
+}
+
+std::string FindingsOf(const std::string& aText)
+{
+  common::Findings findings;
+  daemon::ParseSettings(aText, "daemon.json", findings);
+  return findings.ToString();
+}
+
+} // namespace
+
+TEST_CASE("Settings with comments are read, and absent keys have defaults", "[daemon][settings]")
+{
+  common::Findings findings;
+  const daemon::Settings settings = daemon::ParseSettings(kGood, "daemon.json", findings);
+  REQUIRE(findings.ToString().empty());
+  CHECK(settings.instance_ == common::InstanceId("katalog-1"));
+  CHECK(settings.peers_.advertise_ == common::Address("127.1.0.1:7002"));
+  CHECK(settings.peers_.seeds_ == std::vector{ common::Address("127.2.0.1:7002") });
+  CHECK(settings.profile_ == "time");
+}
+
+TEST_CASE("Every fault of the settings is reported at once with its place", "[daemon][settings]")
+{
+  std::string text = Replace(kGood, "127.1.0.1:7000", "somewhere");
+  text = Replace(text, "\"region\": \"ostalpen\"", "\"region\": 7");
+  text = Replace(text, "\"127.2.0.1:7002\"", "\"127.2.0.1:7002\", \"127.2.0.1:7002\"");
+  text = Replace(text, "\"address\"", "\"timeout_ms\": 1, \"adress\"");
+  CHECK(FindingsOf(text) ==
+        "daemon.json:5: region: must be a string\n"
+        "daemon.json:6: callers.listen: must be an IP number and a port, like 127.0.0.1:7000\n"
+        "daemon.json:8: peers.seeds.1: address is given twice\n"
+        "daemon.json:9: log: key 'address' is missing\n"
+        "daemon.json:9: log.timeout_ms: must be a whole number from 50 to 60000\n"
+        "daemon.json:9: log.adress: unknown key\n");
+}
+
+TEST_CASE("Text that is not JSON is one finding", "[daemon][settings]")
+{
+  CHECK(FindingsOf("{\n\"instance\" 5 }").starts_with("daemon.json:2: not valid JSON near"));
+}
