Decide membership as a pure state machine

Cause: spreading and routing need to know who is there, without a registry and without load on the log. Inside a failure domain members probe each other directly and through others, suspects may refute by a higher revision, changes ride on probes and on short gossip rounds. Between domains only changes travel, between bridges chosen by rank of a hash; digests repair what was lost. Join records are contacts only: a record may be stale, so a member is taken in only after its own answer. Ruled out: cross-domain probes (bytes across regions) and trusting join records.

--- /dev/null
+++ b/src/dandelionstand/peer/Member.cpp
@@ -0,0 +1,91 @@
+#include "dandelionstand/peer/Member.h"
+
+#include "dandelionstand/peer/generated/membership.pb.h"
+
+#include <tuple>
+
+namespace dandelionstand::peer {
+
+namespace {
+
+MemberStatus ParseStatus(wire::MemberState aState)
+{
+  switch (aState) {
+    case wire::SUSPECT:
+      return MemberStatus::kSuspect;
+    case wire::LEAVING:
+      return MemberStatus::kLeaving;
+    case wire::DEAD:
+      return MemberStatus::kDead;
+    default:
+      return MemberStatus::kAlive;
+  }
+}
+
+wire::MemberState ToWire(MemberStatus aStatus)
+{
+  switch (aStatus) {
+    case MemberStatus::kAlive:
+      return wire::ALIVE;
+    case MemberStatus::kLeaving:
+      return wire::LEAVING;
+    case MemberStatus::kSuspect:
+      return wire::SUSPECT;
+    case MemberStatus::kDead:
+      return wire::DEAD;
+  }
+  return wire::ALIVE;
+}
+
+} // namespace
+
+bool Supersedes(const Member& aNews, const Member& aKnown)
+{
+  return std::tie(aNews.incarnation_, aNews.revision_, aNews.status_) >
+         std::tie(aKnown.incarnation_, aKnown.revision_, aKnown.status_);
+}
+
+Member ParseMember(const wire::Member& aWire)
+{
+  Member member;
+  member.instance_ = common::InstanceId(aWire.instance());
+  member.incarnation_ = common::Incarnation(aWire.incarnation());
+  member.address_ = common::Address(aWire.address());
+  member.failureDomain_ = common::FailureDomain(aWire.failure_domain());
+  member.region_ = common::Region(aWire.region());
+  member.status_ = ParseStatus(aWire.state());
+  member.service_ = common::ServiceName(aWire.service());
+  member.revision_ = aWire.revision();
+  member.configVersion_ = common::Version(aWire.config_version());
+  return member;
+}
+
+void WriteMember(const Member& aMember, wire::Member& aWire)
+{
+  aWire.set_instance(aMember.instance_.Get());
+  aWire.set_incarnation(aMember.incarnation_.Get());
+  aWire.set_address(aMember.address_.Get());
+  aWire.set_failure_domain(aMember.failureDomain_.Get());
+  aWire.set_region(aMember.region_.Get());
+  aWire.set_state(ToWire(aMember.status_));
+  aWire.set_service(aMember.service_.Get());
+  aWire.set_revision(aMember.revision_);
+  aWire.set_config_version(aMember.configVersion_.Get());
+}
+
+const char* ToText(MemberStatus aStatus)
+{
+  switch (aStatus) {
+    case MemberStatus::kAlive:
+      return "alive";
+    case MemberStatus::kLeaving:
+      return "leaving";
+    case MemberStatus::kSuspect:
+      return "suspect";
+    case MemberStatus::kDead:
+      return "dead";
+  }
+  return "unknown";
+}
+
+} // namespace dandelionstand::peer
--- /dev/null
+++ b/src/dandelionstand/peer/MemberTable.cpp
@@ -0,0 +1,86 @@
+#include "dandelionstand/peer/MemberTable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace dandelionstand::peer {
+
+namespace {
+
+std::uint64_t HashOf(const Member& aMember)
+{
+  const std::string text = aMember.instance_.Get() + " " +
+                           std::to_string(aMember.incarnation_.Get()) + " " +
+                           std::to_string(aMember.revision_);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
+bool MemberTable::Merge(const Member& aNews)
+{
+  const auto [place, isNew] = members_.try_emplace(aNews.instance_, aNews);
+  if (isNew) {
+    return true;
+  }
+  if (!Supersedes(aNews, place->second)) {
+    return false;
+  }
+  const common::Version known = place->second.configVersion_;
+  place->second = aNews;
+  place->second.configVersion_ = std::max(known, aNews.configVersion_);
+  return true;
+}
+
+void MemberTable::Remove(const common::InstanceId& aInstance)
+{
+  members_.erase(aInstance);
+}
+
+void MemberTable::SetConfigVersion(const common::InstanceId& aInstance, common::Version aVersion)
+{
+  const auto found = members_.find(aInstance);
+  if (found != members_.end()) {
+    found->second.configVersion_ = std::max(found->second.configVersion_, aVersion);
+  }
+}
+
+const Member* MemberTable::Find(const common::InstanceId& aInstance) const
+{
+  const auto found = members_.find(aInstance);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+Members MemberTable::All() const
+{
+  Members all;
+  for (const auto& [instance, member] : members_) {
+    all.push_back(member);
+  }
+  return all;
+}
+
+Members MemberTable::LiveInDomain(const common::FailureDomain& aDomain) const
+{
+  Members live;
+  for (const auto& [instance, member] : members_) {
+    if (member.IsLive() && member.failureDomain_ == aDomain) {
+      live.push_back(member);
+    }
+  }
+  return live;
+}
+
+std::uint64_t MemberTable::DomainHash(const common::FailureDomain& aDomain) const
+{
+  std::uint64_t hash = 0;
+  for (const auto& [instance, member] : members_) {
+    if (member.IsLive() && member.failureDomain_ == aDomain) {
+      hash ^= HashOf(member);
+    }
+  }
+  return hash;
+}
+
+} // namespace dandelionstand::peer
--- /dev/null
+++ b/tests/peer/MembershipTests.cpp
@@ -0,0 +1,161 @@
+#include "MembershipBus.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace dandelionstand;
+using namespace std::chrono_literals;
+using tests::MembershipBus;
+
+namespace {
+
+constexpr int kPerDomain = 3;
+constexpr std::uint64_t kSeeds = 10;
+
+//! True if everyone but the member itself sees that status.
+bool EveryoneSees(MembershipBus& aBus, const std::string& aName, peer::MemberStatus aStatus)
+{
+  const std::vector<std::string> names = aBus.Names();
+  return std::all_of(names.begin(), names.end(), [&](const std::string& aObserver) {
+    return aObserver == aName || aBus.StatusOf(aName, aObserver) == aStatus;
+  });
+}
+
+} // namespace
+
+TEST_CASE("A fleet that starts at once finds itself", "[membership]")
+{
+  MembershipBus bus(GENERATE(range(std::uint64_t{ 1 }, kSeeds)));
+  bus.StartFleet(kPerDomain);
+  CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 15s));
+
+  SECTION("It stays settled at rest with few bytes")
+  {
+    bus.RunFor(20s);
+    const std::uint64_t before = bus.BytesSent();
+    bus.RunFor(20s);
+    CHECK(bus.IsSettled());
+    CHECK((bus.BytesSent() - before) / 20 / bus.Names().size() < 150);
+  }
+}
+
+TEST_CASE("Membership settles despite loss, duplication and reordering", "[membership]")
+{
+  MembershipBus bus(GENERATE(range(std::uint64_t{ 1 }, kSeeds)));
+  bus.Messages().SetFaults({ 0.1, 0.1, 300ms });
+  bus.StartFleet(kPerDomain);
+  bus.RunFor(20s);
+  bus.Messages().SetFaults({ 0, 0, 20ms });
+  CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 20s));
+}
+
+TEST_CASE("A dead member is noticed by all", "[membership]")
+{
+  MembershipBus bus(GENERATE(range(std::uint64_t{ 1 }, kSeeds)));
+  bus.StartFleet(kPerDomain);
+  REQUIRE(bus.RunUntil([&] { return bus.IsSettled(); }, 15s));
+  bus.Kill("r1d0i1");
+  CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 12s));
+
+  SECTION("Its next incarnation replaces it")
+  {
+    bus.Start("r1d0i1", "r1d0", "r1", { "r0d0i0" });
+    CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 12s));
+  }
+}
+
+TEST_CASE("A later incarnation replaces one that was never seen dead", "[membership]")
+{
+  MembershipBus bus(4);
+  bus.StartFleet(kPerDomain);
+  REQUIRE(bus.RunUntil([&] { return bus.IsSettled(); }, 15s));
+  bus.Start("r2d1i2", "r2d1", "r2", { "r0d0i0" });
+  CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 10s));
+}
+
+TEST_CASE("A restart of the whole fleet is found again without the log", "[membership]")
+{
+  MembershipBus bus(GENERATE(range(std::uint64_t{ 1 }, kSeeds)));
+  bus.StartFleet(kPerDomain);
+  REQUIRE(bus.RunUntil([&] { return bus.IsSettled(); }, 15s));
+  bus.SetJoinRecordsAvailable(false);
+  bus.StartFleet(kPerDomain);
+  CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 20s));
+}
+
+TEST_CASE("Join records make a fleet without seeds find itself", "[membership]")
+{
+  MembershipBus bus(5);
+  for (const char* name : { "a", "b", "c", "d" }) {
+    bus.Start(name, name < std::string("c") ? "d0" : "d1", "r0");
+  }
+  CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 20s));
+}
+
+TEST_CASE("A cut inside a failure domain heals without a stuck member", "[membership]")
+{
+  MembershipBus bus(GENERATE(range(std::uint64_t{ 1 }, kSeeds)));
+  bus.StartFleet(4);
+  REQUIRE(bus.RunUntil([&] { return bus.IsSettled(); }, 15s));
+  bus.Messages().SetCut([](const common::Address& aFrom, const common::Address& aTo) {
+    return (aFrom.Get() == "r0d0i0") != (aTo.Get() == "r0d0i0");
+  });
+  bus.RunFor(10s);
+  CHECK(bus.StatusOf("r0d0i0", "r0d0i1") == peer::MemberStatus::kDead);
+  bus.Messages().Heal();
+  CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 20s));
+}
+
+TEST_CASE("Indirect probes keep a member alive that one other cannot reach", "[membership]")
+{
+  MembershipBus bus(6);
+  bus.StartFleet(4);
+  REQUIRE(bus.RunUntil([&] { return bus.IsSettled(); }, 15s));
+  bus.Messages().SetCut([](const common::Address& aFrom, const common::Address& aTo) {
+    return aFrom.Get() == "r0d0i0" && aTo.Get() == "r0d0i1";
+  });
+  for (int i = 0; i < 30; ++i) {
+    bus.RunFor(1s);
+    CHECK(bus.StatusOf("r0d0i1", "r0d0i0") == peer::MemberStatus::kAlive);
+  }
+}
+
+TEST_CASE("A leaving target is known in every failure domain within 3 s", "[membership]")
+{
+  MembershipBus bus(GENERATE(range(std::uint64_t{ 1 }, kSeeds)));
+  bus.StartFleet(kPerDomain);
+  REQUIRE(bus.RunUntil([&] { return bus.IsSettled(); }, 15s));
+  bus.Handle("r0d1i2", peer::TargetAnnounced{ common::ServiceName("katalog") });
+  bus.RunFor(3s);
+  bus.Handle("r0d1i2", peer::TargetLeaving{});
+  CHECK(bus.At("r0d1i2").Self().status_ == peer::MemberStatus::kLeaving);
+  CHECK(
+    bus.RunUntil([&] { return EveryoneSees(bus, "r0d1i2", peer::MemberStatus::kLeaving); }, 3s));
+}
+
+TEST_CASE("A daemon that stops tells the others", "[membership]")
+{
+  MembershipBus bus(7);
+  bus.StartFleet(kPerDomain);
+  REQUIRE(bus.RunUntil([&] { return bus.IsSettled(); }, 15s));
+  bus.Handle("r0d1i2", peer::DaemonStopping{});
+  bus.Kill("r0d1i2");
+  CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 3s));
+}
+
+TEST_CASE("A member refutes the claim that it is dead", "[membership]")
+{
+  MembershipBus bus(8);
+  bus.StartFleet(kPerDomain);
+  REQUIRE(bus.RunUntil([&] { return bus.IsSettled(); }, 15s));
+  peer::wire::MembershipUpdate claim;
+  peer::Member dead = bus.At("r0d0i1").Self();
+  dead.status_ = peer::MemberStatus::kDead;
+  peer::WriteMember(dead, *claim.add_members());
+  bus.Handle(
+    "r0d0i2",
+    peer::MembershipMessage{ common::InstanceId("r0d0i0"), common::Address("r0d0i0"), claim });
+  CHECK(bus.StatusOf("r0d0i1", "r0d0i2") == peer::MemberStatus::kDead);
+  CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 12s));
+}
--- /dev/null
+++ b/tests/peer/MessageBus.h
@@ -0,0 +1,89 @@
+#ifndef dandelionstand_tests_peer_MessageBus_h
+#define dandelionstand_tests_peer_MessageBus_h
+
+#include "dandelionstand/common/Ids.h"
+#include "dandelionstand/common/Time.h"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace dandelionstand::tests {
+
+struct BusFaults
+{
+  double loss_ = 0;
+  double duplication_ = 0;
+  common::Duration delayMost_ = std::chrono::milliseconds(2); //!< Unequal delays reorder messages.
+};
+
+//! Carries messages between state machines in one process, with seeded faults.
+template<typename Message>
+class MessageBus
+{
+public:
+  struct Delivery
+  {
+    common::Address from_;
+    common::Address to_;
+    Message message_;
+  };
+
+  explicit MessageBus(std::uint64_t aSeed)
+    : random_(aSeed)
+  {
+  }
+
+  void SetFaults(BusFaults aFaults) { faults_ = aFaults; }
+  //! True from aIsCut for two addresses drops what passes between them.
+  void SetCut(std::function<bool(const common::Address&, const common::Address&)> aIsCut)
+  {
+    isCut_ = std::move(aIsCut);
+  }
+  void Heal() { isCut_ = nullptr; }
+
+  void Send(Delivery aDelivery, common::TimePoint aNow)
+  {
+    if (isCut_ && isCut_(aDelivery.from_, aDelivery.to_)) {
+      return;
+    }
+    std::uniform_real_distribution<double> chance(0, 1);
+    if (chance(random_) < faults_.loss_) {
+      return;
+    }
+    if (chance(random_) < faults_.duplication_) {
+      Enqueue(aDelivery, aNow);
+    }
+    Enqueue(std::move(aDelivery), aNow);
+  }
+
+  //! Everything that arrives up to aNow.
+  std::vector<Delivery> Take(common::TimePoint aNow)
+  {
+    std::vector<Delivery> arrived;
+    const auto end = queue_.upper_bound(aNow);
+    for (auto entry = queue_.begin(); entry != end; ++entry) {
+      arrived.push_back(std::move(entry->second));
+    }
+    queue_.erase(queue_.begin(), end);
+    return arrived;
+  }
+
+private:
+  void Enqueue(Delivery aDelivery, common::TimePoint aNow)
+  {
+    std::uniform_int_distribution<common::Duration::rep> delay(1, faults_.delayMost_.count());
+    queue_.emplace(aNow + common::Duration(delay(random_)), std::move(aDelivery));
+  }
+
+  std::mt19937_64 random_;
+  BusFaults faults_;
+  std::function<bool(const common::Address&, const common::Address&)> isCut_;
+  std::multimap<common::TimePoint, Delivery> queue_;
+};
+
+} // namespace dandelionstand::tests
+
+#endif // dandelionstand_tests_peer_MessageBus_h
