Send heartbeats on links that are in use alone

Cause: each open link cost two messages a second, also when nothing was sent on it; with some 30 links open for probes that alone is above the goal of 500 B/s at rest (worked out, not measured yet). A link that carries calls is watched until it closes; another one gets a heartbeat after use, and is replaced if that stays unanswered. Ruled out: no heartbeat at all on control links (a link that lost its connection track would look like a dead member). The dump shows each link.

--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -101,6 +101,19 @@
     return nlohmann::json{ { "version", state ? state->version_.Get() : 0 },
                            { "routes", state ? state->routes_.size() : 0 } };
   });
+  admin_.AddDumpSection("links", [this] { return DumpLinks(); });
+}
+
+nlohmann::json Daemon::DumpLinks() const
+{
+  nlohmann::json links = nlohmann::json::array();
+  for (const peer::LinkInfo& link : transport_.Links()) {
+    links.push_back({ { "address", link.address_.Get() },
+                      { "since_heard_us", link.sinceHeard_.count() },
+                      { "since_used_us", link.sinceUsed_.count() },
+                      { "waiting", link.waiting_ } });
+  }
+  return links;
 }
 
 ExitStatus Daemon::Run()
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -45,6 +45,7 @@
   void CheckDrained();
   void Finish(ExitStatus aStatus);
   void SetUpAdmin();
+  nlohmann::json DumpLinks() const;
   std::size_t InFlight() const;
 
   Settings settings_;
--- a/src/dandelionstand/peer/ZmqLink.cpp
+++ b/src/dandelionstand/peer/ZmqLink.cpp
@@ -68,9 +68,30 @@
   Close();
   waiting_.clear();
   lastHeard_ = aNow;
+  unansweredSince_.reset();
   Open();
 }
 
+void ZmqLink::MarkUsed(common::TimePoint aNow, bool aIsCall)
+{
+  lastUsed_ = aNow;
+  isUsedSinceHeartbeat_ = true;
+  carriesCalls_ = carriesCalls_ || aIsCall;
+}
+
+void ZmqLink::MarkHeartbeat(common::TimePoint aNow)
+{
+  isUsedSinceHeartbeat_ = false;
+  if (!unansweredSince_) {
+    unansweredSince_ = aNow;
+  }
+}
+
+bool ZmqLink::IsSilent(common::TimePoint aNow, common::Duration aLimit) const
+{
+  return unansweredSince_ && aNow - *unansweredSince_ > aLimit;
+}
+
 bool ZmqLink::Send(std::string aMessage)
 {
   const bool isSent = waiting_.empty() && TrySend(aMessage);
@@ -125,6 +146,7 @@
     const bool received = zmq_msg_recv(&message, socket_, ZMQ_DONTWAIT) >= 0;
     if (received) {
       lastHeard_ = common::Now();
+      unansweredSince_.reset();
       receiver_(static_cast<const char*>(zmq_msg_data(&message)), zmq_msg_size(&message));
     }
     zmq_msg_close(&message);
--- a/src/dandelionstand/peer/ZmqLink.h
+++ b/src/dandelionstand/peer/ZmqLink.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace dandelionstand::common {
@@ -39,7 +40,15 @@
 
   common::TimePoint LastHeard() const { return lastHeard_; }
   common::TimePoint LastUsed() const { return lastUsed_; }
-  void MarkUsed(common::TimePoint aNow) { lastUsed_ = aNow; }
+  std::size_t Waiting() const { return waiting_.size(); }
+
+  //! Notes a message that is not a heartbeat. A link that carries calls is watched until it closes.
+  void MarkUsed(common::TimePoint aNow, bool aIsCall);
+  //! True if the link carries calls or was used since the last heartbeat.
+  bool NeedsHeartbeat() const { return carriesCalls_ || isUsedSinceHeartbeat_; }
+  void MarkHeartbeat(common::TimePoint aNow);
+  //! True if nothing was heard for aLimit after a heartbeat that waits for its reply.
+  bool IsSilent(common::TimePoint aNow, common::Duration aLimit) const;
 
 private:
   void Open();
@@ -60,6 +69,10 @@
   std::deque<std::string> waiting_;
   common::TimePoint lastHeard_;
   common::TimePoint lastUsed_;
+  //! The first heartbeat since the link was last heard.
+  std::optional<common::TimePoint> unansweredSince_;
+  bool carriesCalls_ = false;
+  bool isUsedSinceHeartbeat_ = false;
 };
 
 } // namespace dandelionstand::peer
--- a/src/dandelionstand/peer/ZmqTransport.cpp
+++ b/src/dandelionstand/peer/ZmqTransport.cpp
@@ -27,6 +27,12 @@
   return envelope;
 }
 
+//! Messages that a caller waits for.
+bool IsCall(const wire::Envelope& aEnvelope)
+{
+  return aEnvelope.has_call_start() || aEnvelope.has_call_credit();
+}
+
 //! Receives one part; false if there is none.
 bool ReceivePart(void* aSocket, std::string& aPart, bool& aHasMore)
 {
@@ -96,7 +102,7 @@
     sent = SendOnRouter(aTo.returnPath_, aEnvelope);
   } else {
     ZmqLink& link = LinkTo(aTo.address_);
-    link.MarkUsed(common::Now());
+    link.MarkUsed(common::Now(), IsCall(aEnvelope));
     sent = link.Send(aEnvelope.SerializeAsString());
   }
   if (!sent) {
@@ -185,22 +191,18 @@
 void ZmqTransport::CheckLinks()
 {
   const common::TimePoint now = common::Now();
-  const common::Duration silentLimit = settings_.heartbeatInterval_ * settings_.silentIntervals_;
+  std::erase_if(links_, [&](const auto& aLink) {
+    return now - aLink.second->LastUsed() > settings_.idleClose_;
+  });
   std::vector<common::Address> lost;
-  for (auto link = links_.begin(); link != links_.end();) {
-    if (now - link->second->LastUsed() > settings_.idleClose_) {
-      link = links_.erase(link);
-      continue;
+  for (const auto& [address, link] : links_) {
+    if (link->IsSilent(now, settings_.heartbeatInterval_ * settings_.silentIntervals_)) {
+      link->Replace(now);
+      lost.push_back(address);
     }
-    if (now - link->second->LastHeard() > silentLimit) {
-      link->second->Replace(now);
-      lost.push_back(link->first);
+    if (link->NeedsHeartbeat() || link->IsSilent(now, common::Duration(0))) {
+      SendHeartbeat(*link, now);
     }
-    wire::Envelope heartbeat = MakeHeartbeat(false);
-    Stamp(heartbeat);
-    counters_.Add("peer_bytes_sent_total", heartbeat.ByteSizeLong());
-    link->second->Send(heartbeat.SerializeAsString());
-    ++link;
   }
   for (const common::Address& address : lost) {
     counters_.Add("peer_links_replaced_total");
@@ -210,4 +212,24 @@
   }
 }
 
+void ZmqTransport::SendHeartbeat(ZmqLink& aLink, common::TimePoint aNow)
+{
+  wire::Envelope heartbeat = MakeHeartbeat(false);
+  Stamp(heartbeat);
+  counters_.Add("peer_messages_sent_total");
+  counters_.Add("peer_bytes_sent_total", heartbeat.ByteSizeLong());
+  aLink.Send(heartbeat.SerializeAsString());
+  aLink.MarkHeartbeat(aNow);
+}
+
+std::vector<LinkInfo> ZmqTransport::Links() const
+{
+  std::vector<LinkInfo> infos;
+  const common::TimePoint now = common::Now();
+  for (const auto& [address, link] : links_) {
+    infos.push_back({ address, now - link->LastHeard(), now - link->LastUsed(), link->Waiting() });
+  }
+  return infos;
+}
+
 } // namespace dandelionstand::peer
--- a/src/dandelionstand/peer/ZmqTransport.h
+++ b/src/dandelionstand/peer/ZmqTransport.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace dandelionstand::common {
 class Counters;
@@ -27,10 +28,19 @@
   common::Address advertise_;
   std::string sourceIp_; //!< Local IP of outgoing links; empty leaves it to the system.
   common::Duration heartbeatInterval_ = std::chrono::seconds(1);
-  std::uint32_t silentIntervals_ = 3; //!< A link that is silent for so many is replaced.
+  std::uint32_t silentIntervals_ = 3; //!< A heartbeat unanswered for so many replaces its link.
   common::Duration idleClose_ = std::chrono::seconds(30); //!< Unused links are closed.
 };
 
+//! One outgoing link, for dumps.
+struct LinkInfo
+{
+  common::Address address_;
+  common::Duration sinceHeard_;
+  common::Duration sinceUsed_;
+  std::size_t waiting_; //!< Messages that wait for the connection.
+};
+
 //! Links between daemons on ZeroMQ: one ROUTER for all who call us, a DEALER for each we call.
 class ZmqTransport : public Transport
 {
@@ -43,7 +53,8 @@
 
   bool Send(const PeerRef& aTo, wire::Envelope& aEnvelope) override;
 
-  std::size_t LinkCount() const { return links_.size(); }
+  //! Every outgoing link.
+  std::vector<LinkInfo> Links() const;
 
 private:
   void ReadRouter();
@@ -52,6 +63,7 @@
   bool SendOnRouter(const std::string& aReturnPath, const wire::Envelope& aEnvelope);
   ZmqLink& LinkTo(const common::Address& aAddress);
   void CheckLinks();
+  void SendHeartbeat(ZmqLink& aLink, common::TimePoint aNow);
   void Stamp(wire::Envelope& aEnvelope) const;
 
   common::EventLoop& loop_;
