--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -267,7 +267,7 @@
 std::uint64_t Fleet::Publish(const json& aDocument) const
 {
   const std::filesystem::path file = folder_.Write("document.json", aDocument.dump(2));
-  const RunResult result = Control("publish", { file });
+  const RunResult result = Control("publish", { "--file", file });
   if (result.exit_ != ExitResult{}) {
     throw std::runtime_error("publish was refused:\n" + result.output_);
   }
