--- a/standins/HttpServer.cpp
+++ b/standins/HttpServer.cpp
@@ -187,6 +187,9 @@
   }
   evhttp_connection* connection = evhttp_request_get_connection(request_);
   Release();
+  bufferevent* stream = evhttp_connection_get_bufferevent(connection);
+  bufferevent_setcb(stream, nullptr, nullptr, nullptr, nullptr);
+  bufferevent_disable(stream, EV_READ | EV_WRITE);
   // The connection may be in the middle of a callback of evhttp.
   loop_.Post([connection]() { evhttp_connection_free(connection); });
 }
--- a/standins/target/TargetMain.cpp
+++ b/standins/target/TargetMain.cpp
@@ -15,6 +15,7 @@
 namespace options = boost::program_options;
 
 constexpr std::chrono::milliseconds kDrainCheckInterval(20);
+constexpr std::chrono::seconds kDrainLimit(30);
 
 //! Ends the loop once nothing is in flight for one interval.
 std::unique_ptr<common::Watch> StopWhenIdle(common::EventLoop& aLoop,
@@ -32,7 +33,11 @@
   common::EventLoop loop;
   const std::string service = aValues["service"].as<std::string>();
   standins::TargetServer server(
-    loop, common::Address(aValues["listen"].as<std::string>()), service);
+    loop,
+    { .listen_ = common::Address(aValues["listen"].as<std::string>()),
+      .service_ = service,
+      .runFile_ = aValues["run-file"].as<std::string>(),
+      .behaviour_ = standins::ReadTargetControl(aValues["control"].as<std::string>(), {}) });
   std::unique_ptr<standins::Announcer> announcer;
   if (aValues.count("daemon-admin") > 0) {
     announcer = std::make_unique<standins::Announcer>(
@@ -42,9 +47,12 @@
                                      .service_ = service,
                                      .target_ = server.ListeningAddress() });
     announcer->Start();
+    server.OnReadyChanged([&](bool aIsReady) { announcer->SetReady(aIsReady); });
   }
   std::unique_ptr<common::Watch> drain;
+  std::unique_ptr<common::Watch> drainLimit;
   const auto onTerm = loop.OnSignal(SIGTERM, [&]() {
+    drainLimit = loop.After(kDrainLimit, [&loop]() { loop.Stop(); });
     const auto startDrain = [&]() { drain = StopWhenIdle(loop, server); };
     if (announcer) {
       announcer->Leave(startDrain);
@@ -65,5 +73,11 @@
   add("listen", options::value<std::string>()->default_value("127.0.0.1:0"), "ip:port to serve");
   add("service", options::value<std::string>()->required(), "name of the service");
   add("daemon-admin", options::value<std::string>(), "ip:port of the daemon to announce to");
+  add("run-file",
+      options::value<std::string>()->default_value(""),
+      "file that keeps the counts of runs over restarts");
+  add("control",
+      options::value<std::string>()->default_value("{}"),
+      "behaviour at the start, as POST /control takes it");
   return standins::RunProgram(argc, argv, description, Run);
 }
--- a/tests/support/FleetInstance.cpp
+++ b/tests/support/FleetInstance.cpp
@@ -58,9 +58,12 @@
   if (plan_.service_.empty() || Runs(target_)) {
     return;
   }
-  std::vector<std::string> arguments = { "--listen",       plan_.addresses_.target_.Get(),
-                                         "--service",      plan_.service_,
-                                         "--daemon-admin", plan_.addresses_.admin_.Get() };
+  std::vector<std::string> arguments = {
+    "--listen",       plan_.addresses_.target_.Get(),
+    "--service",      plan_.service_,
+    "--daemon-admin", plan_.addresses_.admin_.Get(),
+    "--run-file",     plan_.folder_ / (plan_.name_ + ".runs")
+  };
   arguments.insert(arguments.end(), plan_.targetArguments_.begin(), plan_.targetArguments_.end());
   target_.reset();
   target_ = std::make_unique<Process>("standin-target", arguments, LogPath("target"));
@@ -178,6 +181,16 @@
   return GetJson(plan_.addresses_.target_, "/runs");
 }
 
+nlohmann::json FleetInstance::TargetRunsByIdentity() const
+{
+  return GetJson(plan_.addresses_.target_, "/runs?by=identity");
+}
+
+std::uint64_t FleetInstance::TargetStat(const std::string& aName) const
+{
+  return GetJson(plan_.addresses_.target_, "/stats").at(aName).get<std::uint64_t>();
+}
+
 std::string FleetInstance::Log() const
 {
   return ReadFile(LogPath("daemon"));
--- a/tests/support/FleetInstance.h
+++ b/tests/support/FleetInstance.h
@@ -88,8 +88,12 @@
 
   //! Sets the behaviour of the target: the JSON of POST /control of standin-target.
   void ControlTarget(const nlohmann::json& aControl) const;
-  //! GET /runs of the target.
+  //! Runs at the target by idempotency key, over all its processes.
   nlohmann::json TargetRuns() const;
+  //! Runs by Request-Identity of all requests but GET and HEAD.
+  nlohmann::json TargetRunsByIdentity() const;
+  //! One number of GET /stats of the target.
+  std::uint64_t TargetStat(const std::string& aName) const;
 
   //! Log of the daemon, over all its runs.
   std::string Log() const;
