Lay out fleets on loopback and start, sample and end their processes

Cause: the demo and the scale experiment need the same fleet from one generator. Ruled out: a shell loop for the topology (settings and addresses would stand twice), and posix_spawn (no parent-death signal, so a killed tool would leave its fleet behind).

--- /dev/null
+++ b/src/dandelionstand/load/ProcessUsage.cpp
@@ -0,0 +1,65 @@
+#include "dandelionstand/load/ProcessUsage.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+namespace dandelionstand::load {
+
+namespace {
+
+// Positions after the program's name, which may itself hold spaces and brackets.
+constexpr std::size_t kUserTicksField = 11;
+constexpr std::size_t kSystemTicksField = 12;
+constexpr std::size_t kResidentPagesField = 21;
+constexpr std::uint64_t kMicrosecondsPerSecond = 1'000'000;
+
+bool ToNumber(const std::string& aText, std::uint64_t& aNumber)
+{
+  std::istringstream stream(aText);
+  stream >> aNumber;
+  return !stream.fail() && stream.eof();
+}
+
+} // namespace
+
+std::optional<ProcessUsage> ParseProcessStat(const std::string& aText,
+                                             std::uint64_t aTicksPerSecond,
+                                             std::uint64_t aPageBytes)
+{
+  const std::size_t nameEnd = aText.rfind(')');
+  if (nameEnd == std::string::npos) {
+    return std::nullopt;
+  }
+  std::istringstream stream(aText.substr(nameEnd + 1));
+  std::vector<std::string> fields;
+  for (std::string field; stream >> field;) {
+    fields.push_back(field);
+  }
+  std::uint64_t userTicks = 0;
+  std::uint64_t systemTicks = 0;
+  std::uint64_t pages = 0;
+  const bool isValid = fields.size() > kResidentPagesField &&
+                       ToNumber(fields[kUserTicksField], userTicks) &&
+                       ToNumber(fields[kSystemTicksField], systemTicks) &&
+                       ToNumber(fields[kResidentPagesField], pages);
+  if (!isValid) {
+    return std::nullopt;
+  }
+  const std::uint64_t cpuUs = (userTicks + systemTicks) * kMicrosecondsPerSecond / aTicksPerSecond;
+  return ProcessUsage{ common::Duration(cpuUs), pages * aPageBytes };
+}
+
+std::optional<ProcessUsage> ReadProcessUsage(int aPid)
+{
+  std::ifstream file("/proc/" + std::to_string(aPid) + "/stat");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseProcessStat(text.str(),
+                          static_cast<std::uint64_t>(sysconf(_SC_CLK_TCK)),
+                          static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)));
+}
+
+} // namespace dandelionstand::load
--- /dev/null
+++ b/tests/load/LoadOptionsTests.cpp
@@ -0,0 +1,57 @@
+#include "dandelionstand/load/LoadOptions.h"
+#include "dandelionstand/load/RunCounts.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand::load;
+using dandelionstand::common::Findings;
+using namespace std::chrono_literals;
+
+TEST_CASE("Options become settings", "[load][options]")
+{
+  LoadOptions options;
+  options.entries_ = { "127.0.0.1:7000" };
+  options.mix_ = "order=1";
+  options.rates_ = "100:10,250.5:0.5";
+  options.downloadBytes_ = 64;
+  Findings findings;
+  const LoadSettings settings = ParseLoadOptions(options, findings);
+  REQUIRE(findings.IsEmpty());
+  REQUIRE(settings.steps_.size() == 2);
+  CHECK(settings.steps_[1].callsPerSecond_ == 250.5);
+  CHECK(settings.steps_[1].length_ == 500ms);
+  CHECK(settings.runName_ != "");
+}
+
+TEST_CASE("Everything wrong with the options is found at once", "[load][options]")
+{
+  LoadOptions options;
+  options.user_ = "nobody";
+  options.rates_ = "100";
+  options.directTargets_ = { "127.0.0.1", "x:y" };
+  options.repeatPercent_ = 101;
+  options.connections_ = 0;
+  Findings findings;
+  ParseLoadOptions(options, findings);
+  CHECK(findings.All().size() == 7);
+}
+
+TEST_CASE("Rates with errors are refused", "[load][options]")
+{
+  for (const std::string text :
+       { "", "100", "100:", ":10", "100:0", "-1:10", "100:10;", "100:10,x" }) {
+    INFO(text);
+    CHECK_FALSE(ParseRates(text));
+  }
+}
+
+TEST_CASE("Run counts are a JSON object of numbers", "[load][orders]")
+{
+  const auto runs = ParseRunCounts(R"({"a": 1, "b": 2})");
+  REQUIRE(runs);
+  CHECK(runs->size() == 2);
+  for (const std::string text : { "", "[]", R"({"a": -1})", R"({"a": "1"})", "{" }) {
+    INFO(text);
+    CHECK_FALSE(ParseRunCounts(text));
+  }
+}
