--- /dev/null
+++ b/src/dandelionstand/load/Fetch.cpp
@@ -0,0 +1,54 @@
+#include "dandelionstand/load/Fetch.h"
+
+#include "dandelionstand/platform/HttpClient.h"
+
+#include <memory>
+
+namespace dandelionstand::load {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
+
+} // namespace
+
+std::vector<std::optional<std::string>> FetchAll(common::EventLoop& aLoop,
+                                                 const std::vector<common::Address>& aAddresses,
+                                                 const std::string& aPath,
+                                                 common::Duration aTimeout)
+{
+  std::vector<std::optional<std::string>> bodies(aAddresses.size());
+  std::vector<std::unique_ptr<platform::HttpClient>> clients;
+  std::size_t open = aAddresses.size();
+  for (std::size_t index = 0; index < aAddresses.size(); ++index) {
+    clients.push_back(std::make_unique<platform::HttpClient>(
+      aLoop,
+      platform::HttpClientSettings{ .address_ = aAddresses[index],
+                                    .maxBodyBytes_ = kMaxBodyBytes }));
+    platform::HttpRequest request;
+    request.target_ = aPath;
+    request.timeout_ = aTimeout;
+    clients.back()->Send(std::move(request), [&, index](const platform::HttpAnswer& aAnswer) {
+      if (aAnswer.outcome_ == platform::HttpOutcome::kAnswered && aAnswer.status_ == kOk) {
+        bodies[index] = aAnswer.body_;
+      }
+      open -= 1;
+      if (open == 0) {
+        aLoop.Stop();
+      }
+    });
+  }
+  if (open > 0) {
+    aLoop.Run();
+  }
+  return bodies;
+}
+
+void RunFor(common::EventLoop& aLoop, common::Duration aTime)
+{
+  const auto timer = aLoop.After(aTime, [&aLoop]() { aLoop.Stop(); });
+  aLoop.Run();
+}
+
+} // namespace dandelionstand::load
--- /dev/null
+++ b/src/dandelionstand/load/Fleet.h
@@ -0,0 +1,95 @@
+#ifndef dandelionstand_load_Fleet_h
+#define dandelionstand_load_Fleet_h
+
+#include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/load/ChildProcess.h"
+#include "dandelionstand/load/Metrics.h"
+#include "dandelionstand/load/ProcessUsage.h"
+#include "dandelionstand/load/Topology.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dandelionstand::load {
+
+struct FleetSettings
+{
+  std::string programs_;         //!< Folder of the binaries.
+  std::string folder_;           //!< Settings and output of each process go here.
+  bool hasTargets_ = true;       //!< Whether each daemon has a target beside it.
+  std::uint64_t appendLimit_ = 400; //!< Appends a second that the log takes; 0 for no limit.
+};
+
+//! Usage and metrics of one daemon at one time.
+struct DaemonSample
+{
+  const InstancePlan* instance_ = nullptr;
+  ProcessUsage usage_;
+  Metrics metrics_;
+};
+
+//! What the fleet has used at one time.
+struct FleetSample
+{
+  common::TimePoint time_;
+  std::vector<DaemonSample> daemons_; //!< Those that answered, in the order of the topology.
+  ProcessUsage log_;
+};
+
+//! Real daemons and stand-ins on loopback, started and ended by their process ids alone.
+class Fleet
+{
+public:
+  //! Throws std::invalid_argument beyond 300 processes.
+  Fleet(common::EventLoop& aLoop, Topology aTopology, FleetSettings aSettings);
+  //! Kills whatever still runs.
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  const Topology& GetTopology() const { return topology_; }
+
+  void StartLog();
+  //! Waits for the log's present process to end.
+  void StopLog();
+  void StartTarget(std::size_t aIndex);
+  void StartDaemon(std::size_t aIndex);
+  void StartAll();
+  //! Kills a daemon at once, without a shutdown.
+  void KillDaemon(std::size_t aIndex);
+
+  //! Whether every daemon that was started answers on its admin address within the limit.
+  bool WaitForAnswers(common::Duration aLimit);
+  //! Whether every daemon has logged aVersion as in force within the limit.
+  bool WaitForVersion(common::Version aVersion, common::Duration aLimit);
+  //! When each daemon logged aVersion as in force, in milliseconds since the Unix epoch; none for
+  //! those that did not.
+  std::vector<std::optional<std::uint64_t>> TimesInForce(common::Version aVersion) const;
+
+  FleetSample Sample();
+  //! Ends all processes: SIGTERM, then SIGKILL to those that remain after the limit. How many had to
+  //! be killed.
+  std::size_t StopAll(common::Duration aLimit);
+
+private:
+  struct Member
+  {
+    std::optional<ChildProcess> daemon_;
+    std::optional<ChildProcess> target_;
+  };
+
+  std::string FileOf(const InstancePlan& aInstance, const std::string& aSuffix) const;
+  std::vector<ChildProcess*> Processes();
+
+  common::EventLoop& loop_;
+  Topology topology_;
+  FleetSettings settings_;
+  std::optional<ChildProcess> log_;
+  std::vector<Member> members_;
+};
+
+} // namespace dandelionstand::load
+
+#endif // dandelionstand_load_Fleet_h
