Let the HTTP client send headers

Cause: the load tool sends an identity and an Idempotency-Key with each call. Ruled out: a second client in the load library (the same logic twice). Change outside the load folders: one field and one loop in the platform's client.

--- a/src/dandelionstand/platform/HttpClient.cpp
+++ b/src/dandelionstand/platform/HttpClient.cpp
@@ -65,6 +65,9 @@
     evhttp_request_set_chunked_cb(request, &Exchange::OnBody);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", client_.settings_.address_.Get().c_str());
+    for (const auto& [name, value] : request_.headers_) {
+      evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
     evbuffer* body = evhttp_request_get_output_buffer(request);
     evbuffer_add(body, request_.body_.data(), request_.body_.size());
     const evhttp_cmd_type command =
--- a/src/dandelionstand/platform/HttpClient.h
+++ b/src/dandelionstand/platform/HttpClient.h
@@ -35,7 +35,8 @@
 struct HttpRequest
 {
   HttpMethod method_ = HttpMethod::kGet;
-  std::string target_; //!< Path and query.
+  std::string target_;                         //!< Path and query.
+  std::map<std::string, std::string> headers_; //!< Besides Host.
   std::string body_;
   common::Duration timeout_{}; //!< From the call of Send to the end of the answer.
   //! Takes the body in pieces instead of HttpAnswer::body_; false ends the answer early.
