--- a/src/dandelionstand/load/Fetch.cpp
+++ b/src/dandelionstand/load/Fetch.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxBodyBytes = 16'777'216;
 
 } // namespace
 
--- a/src/dandelionstand/load/Fleet.cpp
+++ b/src/dandelionstand/load/Fleet.cpp
@@ -122,7 +122,8 @@
   const common::TimePoint end = common::Now() + aLimit;
   while (common::Now() < end) {
     const auto bodies = FetchAll(loop_, addresses, "/metrics", kFetchTimeout);
-    if (std::all_of(bodies.begin(), bodies.end(), [](const auto& aBody) { return aBody.has_value(); })) {
+    if (std::all_of(
+          bodies.begin(), bodies.end(), [](const auto& aBody) { return aBody.has_value(); })) {
       return true;
     }
     RunFor(loop_, kPollInterval);
@@ -135,7 +136,8 @@
   const common::TimePoint end = common::Now() + aLimit;
   while (common::Now() < end) {
     const auto times = TimesInForce(aVersion);
-    if (std::all_of(times.begin(), times.end(), [](const auto& aTime) { return aTime.has_value(); })) {
+    if (std::all_of(
+          times.begin(), times.end(), [](const auto& aTime) { return aTime.has_value(); })) {
       return true;
     }
     RunFor(loop_, kPollInterval);
--- a/src/dandelionstand/load/Fleet.h
+++ b/src/dandelionstand/load/Fleet.h
@@ -16,9 +16,9 @@
 
 struct FleetSettings
 {
-  std::string programs_;         //!< Folder of the binaries.
-  std::string folder_;           //!< Settings and output of each process go here.
-  bool hasTargets_ = true;       //!< Whether each daemon has a target beside it.
+  std::string programs_;            //!< Folder of the binaries.
+  std::string folder_;              //!< Settings and output of each process go here.
+  bool hasTargets_ = true;          //!< Whether each daemon has a target beside it.
   std::uint64_t appendLimit_ = 400; //!< Appends a second that the log takes; 0 for no limit.
 };
 
@@ -69,8 +69,8 @@
   std::vector<std::optional<std::uint64_t>> TimesInForce(common::Version aVersion) const;
 
   FleetSample Sample();
-  //! Ends all processes: SIGTERM, then SIGKILL to those that remain after the limit. How many had to
-  //! be killed.
+  //! Ends all processes: SIGTERM, then SIGKILL to those that remain after the limit. How many had
+  //! to be killed.
   std::size_t StopAll(common::Duration aLimit);
 
 private:
--- a/src/dandelionstand/load/LoadRun.cpp
+++ b/src/dandelionstand/load/LoadRun.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr common::Duration kRunCountTimeout = std::chrono::seconds(10);
-constexpr std::size_t kMaxRunCountBytes = 64 * 1024 * 1024;
+constexpr std::size_t kMaxRunCountBytes = 67'108'864;
 
 void AddCallers(common::EventLoop& aLoop,
                 const LoadSettings& aSettings,
--- a/src/dandelionstand/load/Plot.cpp
+++ b/src/dandelionstand/load/Plot.cpp
@@ -19,6 +19,7 @@
 constexpr double kLegendPx = 595;
 constexpr double kLegendRowPx = 18;
 constexpr int kTickCount = 6;
+constexpr std::size_t kMostMarkedPoints = 40;
 constexpr std::array kColours = { "#1b6ca8", "#c8553d", "#3a7d44", "#8a4fa3",
                                   "#b8860b", "#4d4d4d", "#d1495b", "#00798c" };
 
@@ -193,8 +194,9 @@
       }
     }
     out_ << "\"/>\n";
+    const bool isMarked = series.points_.size() <= kMostMarkedPoints;
     for (const PlotPoint& point : series.points_) {
-      if (Takes(point)) {
+      if (isMarked && Takes(point)) {
         out_ << "<circle r=\"2.5\" cx=\"" << x_.ToPx(point.x_) << "\" cy=\"" << y_.ToPx(point.y_)
              << "\" fill=\"" << colour << "\"/>\n";
       }
