--- a/standins/target/TargetServer.cpp
+++ b/standins/target/TargetServer.cpp
@@ -79,6 +79,17 @@
 {
 }
 
+TargetServer::TargetServer(common::EventLoop& aLoop,
+                           const common::Address& aListen,
+                           std::string aService)
+  : TargetServer(aLoop,
+                 Settings{ .listen_ = aListen,
+                           .service_ = std::move(aService),
+                           .runFile_ = "",
+                           .behaviour_ = {} })
+{
+}
+
 TargetServer::~TargetServer() = default;
 
 void TargetServer::OnRequest(const ServerRequest& aRequest)
--- a/standins/target/TargetServer.h
+++ b/standins/target/TargetServer.h
@@ -45,6 +45,8 @@
   };
 
   TargetServer(common::EventLoop& aLoop, Settings aSettings);
+  //! A target with the default behaviour.
+  TargetServer(common::EventLoop& aLoop, const common::Address& aListen, std::string aService);
   ~TargetServer();
 
   const common::Address& ListeningAddress() const { return server_.ListeningAddress(); }
