Bound what the log client reads and survive every malformed answer

Cause: an answer could be cut, garbled, endless or from a service that is away, and nothing showed what the client does. Ruled out: reading on past its bytes, which lets one frame with a wrong length hang every reader until its timeout. A timeout or failure drops the idle connections too: whatever silenced one may have silenced them all. Addresses are parsed in one place.

Seen failing: with a failed append called rejected, "An append whose answer is lost is unavailable and took effect" is red; with idle connections kept, "Connections that have gone silent are replaced after one timeout" is red; without the check for a cut frame, "A malformed answer to a read is unavailable and yields no record" is red.

--- a/src/dandelionstand/platform/HttpClient.cpp
+++ b/src/dandelionstand/platform/HttpClient.cpp
@@ -15,14 +15,6 @@
 
 namespace {
 
-std::string ToLower(std::string aText)
-{
-  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aLetter) {
-    return static_cast<char>(std::tolower(aLetter));
-  });
-  return aText;
-}
-
 std::string TakeAll(evbuffer* aBuffer)
 {
   std::string text(evbuffer_get_length(aBuffer), '\0');
@@ -36,12 +28,20 @@
   const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
   for (const evkeyval* header = headers->tqh_first; header != nullptr;
        header = header->next.tqe_next) {
-    aAnswer.headers_[ToLower(header->key)] = header->value;
+    aAnswer.headers_[ToLowerCase(header->key)] = header->value;
   }
 }
 
 } // namespace
 
+std::string ToLowerCase(std::string aText)
+{
+  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aLetter) {
+    return static_cast<char>(std::tolower(aLetter));
+  });
+  return aText;
+}
+
 //! One request, its connection and its timer.
 class HttpClient::Exchange
 {
@@ -137,13 +137,9 @@
   : loop_(aLoop)
   , settings_(std::move(aSettings))
 {
-  const std::string& address = settings_.address_.Get();
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    throw std::invalid_argument("address without a port: " + address);
+  if (!common::ParseAddress(settings_.address_.Get(), server_)) {
+    throw std::invalid_argument("not an IP number and port: " + settings_.address_.Get());
   }
-  host_ = address.substr(0, colon);
-  port_ = std::stoi(address.substr(colon + 1));
 }
 
 HttpClient::~HttpClient() = default;
@@ -163,8 +159,8 @@
     idle_.pop_back();
     return connection;
   }
-  Connection connection(evhttp_connection_base_new(
-    loop_.Base(), nullptr, host_.c_str(), static_cast<unsigned short>(port_)));
+  Connection connection(
+    evhttp_connection_base_new(loop_.Base(), nullptr, server_.host_.c_str(), server_.port_));
   if (!connection) {
     throw std::bad_alloc();
   }
@@ -180,6 +176,10 @@
 {
   auto ended = exchanges_.extract(aExchange);
   aExchange->StopTimer();
+  if (aAnswer.outcome_ == HttpOutcome::kTimedOut || aAnswer.outcome_ == HttpOutcome::kFailed) {
+    // Whatever broke this connection may have silenced the idle ones on the same way as well.
+    idle_.clear();
+  }
   if (IsReusable(aAnswer)) {
     idle_.push_back(aExchange->TakeConnection());
   }
@@ -196,7 +196,7 @@
     return false;
   }
   const auto header = aAnswer.headers_.find("connection");
-  const bool isClosing = header != aAnswer.headers_.end() && ToLower(header->second) == "close";
+  const bool isClosing = header != aAnswer.headers_.end() && ToLowerCase(header->second) == "close";
   return !isClosing && idle_.size() < settings_.maxIdleConnections_;
 }
 
--- a/src/dandelionstand/platform/HttpClient.h
+++ b/src/dandelionstand/platform/HttpClient.h
@@ -2,6 +2,7 @@
 #define dandelionstand_platform_HttpClient_h
 
 #include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/common/HttpServer.h"
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
 
@@ -59,6 +60,9 @@
   std::string body_;
 };
 
+//! Header names have no case; maps of headers have them in this form.
+std::string ToLowerCase(std::string aText);
+
 //! Asynchronous HTTP/1.1 client for one server. Each request has a connection of its own while it
 //! runs; a connection on which anything went wrong is never used again.
 class HttpClient
@@ -92,8 +96,7 @@
 
   common::EventLoop& loop_;
   HttpClientSettings settings_;
-  std::string host_;
-  int port_ = 0;
+  common::HostAndPort server_;
   std::map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
   std::vector<Connection> idle_;
   //! Ended objects that libevent may still use in the present turn of the loop.
--- a/src/dandelionstand/platform/HttpLog.cpp
+++ b/src/dandelionstand/platform/HttpLog.cpp
@@ -89,9 +89,12 @@
   return "unknown";
 }
 
-LogStatus ToLogStatus(int aHttpStatus)
+LogStatus ToLogStatus(const HttpAnswer& aAnswer)
 {
-  switch (aHttpStatus) {
+  if (aAnswer.outcome_ != HttpOutcome::kAnswered && aAnswer.outcome_ != HttpOutcome::kEndedEarly) {
+    return LogStatus::kUnavailable;
+  }
+  switch (aAnswer.status_) {
     case kStatusOk:
       return LogStatus::kOk;
     case kStatusGone:
@@ -140,7 +143,11 @@
 void HttpLog::Append(const StreamName& aStream, std::string aData, AppendCallback aCallback)
 {
   if (aData.size() > kMaxRecordBytes) {
-    RejectLater(aStream, std::move(aCallback));
+    RefuseAppend(aStream, LogStatus::kRejected, std::move(aCallback));
+    return;
+  }
+  if (IsFull()) {
+    RefuseAppend(aStream, LogStatus::kOverloaded, std::move(aCallback));
     return;
   }
   HttpRequest request;
@@ -154,14 +161,14 @@
                });
 }
 
-void HttpLog::RejectLater(const StreamName& aStream, AppendCallback aCallback)
+void HttpLog::RefuseAppend(const StreamName& aStream, LogStatus aStatus, AppendCallback aCallback)
 {
-  counters_.Add("log_appends_total{outcome=\"rejected\"}");
+  Count("appends", aStatus);
   common::LogEvent(common::Severity::kError,
-                   "log_append_rejected",
-                   { { "stream", aStream.Get() }, { "reason", "record too long" } });
-  loop_.Post([callback = std::move(aCallback)]() {
-    callback({ .status_ = LogStatus::kRejected, .offset_ = {} });
+                   "log_append_refused",
+                   { { "stream", aStream.Get() }, { "status", ToText(aStatus) } });
+  loop_.Post([aStatus, callback = std::move(aCallback)]() {
+    callback({ .status_ = aStatus, .offset_ = {} });
   });
 }
 
@@ -170,6 +177,13 @@
                    common::Duration aWait,
                    ReadCallback aCallback)
 {
+  if (IsFull()) {
+    Count("reads", LogStatus::kOverloaded);
+    loop_.Post([callback = std::move(aCallback)]() {
+      callback({ .status_ = LogStatus::kOverloaded, .records_ = {}, .first_ = {}, .next_ = {} });
+    });
+    return;
+  }
   auto reading = std::make_shared<Reading>(
     aStream, FrameReader(aFrom, kMaxRecordBytes, settings_.maxReadBytes_));
   HttpRequest request;
@@ -186,63 +200,86 @@
 AppendResult HttpLog::ToAppendResult(const StreamName& aStream, const HttpAnswer& aAnswer)
 {
   AppendResult result;
-  result.status_ = Classify(aStream, "append", aAnswer);
-  if (result.status_ == LogStatus::kOk) {
-    const std::optional<common::Offset> offset = OffsetInBody(aAnswer.body_);
-    if (offset) {
-      result.offset_ = *offset;
-    } else {
-      ReportMalformed(aStream, "append answer without an offset");
-      result.status_ = LogStatus::kUnavailable;
-    }
+  result.status_ = ToLogStatus(aAnswer);
+  if (result.status_ != LogStatus::kOk) {
+    ReportFailure("append", aStream, result.status_, aAnswer);
+  } else if (const std::optional<common::Offset> offset = OffsetInBody(aAnswer.body_)) {
+    result.offset_ = *offset;
+  } else {
+    ReportMalformed(aStream, "append answer without an offset");
+    result.status_ = LogStatus::kUnavailable;
   }
-  counters_.Add(std::string("log_appends_total{outcome=\"") + ToText(result.status_) + "\"}");
+  Count("appends", result.status_);
   return result;
 }
 
 ReadResult HttpLog::ToReadResult(Reading& aReading, const HttpAnswer& aAnswer)
 {
   ReadResult result;
-  result.status_ = Classify(aReading.stream_, "read", aAnswer);
-  if (result.status_ == LogStatus::kOk || result.status_ == LogStatus::kGap) {
-    const std::optional<common::Offset> first = OffsetHeader(aAnswer, "log-first");
-    const std::optional<common::Offset> next = OffsetHeader(aAnswer, "log-next");
-    const bool isWhole =
-      aAnswer.outcome_ == HttpOutcome::kEndedEarly || aReading.frames_.IsAtFrameEnd();
-    if (!first || !next) {
-      ReportMalformed(aReading.stream_, "answer without Log-First and Log-Next");
-      result.status_ = LogStatus::kUnavailable;
-    } else if (result.status_ == LogStatus::kOk && (aReading.frames_.IsMalformed() || !isWhole)) {
-      ReportMalformed(aReading.stream_, "malformed record frames");
-      result.status_ = LogStatus::kUnavailable;
-    } else {
-      result.first_ = *first;
-      result.next_ = *next;
-    }
+  result.status_ = ToLogStatus(aAnswer);
+  if (result.status_ != LogStatus::kOk) {
+    ReportFailure("read", aReading.stream_, result.status_, aAnswer);
   }
-  if (result.status_ == LogStatus::kOk) {
-    result.records_ = aReading.frames_.TakeRecords();
-    counters_.Add("log_oversized_records_total", aReading.frames_.OversizedCount());
+  const bool hasOffsets = result.status_ == LogStatus::kOk || result.status_ == LogStatus::kGap;
+  const bool hasRecords = result.status_ == LogStatus::kOk;
+  if ((hasOffsets && !ReadOffsets(aReading, aAnswer, result)) ||
+      (hasRecords && !TakeRecords(aReading, aAnswer, result))) {
+    result = ReadResult();
   }
-  counters_.Add(std::string("log_reads_total{outcome=\"") + ToText(result.status_) + "\"}");
+  Count("reads", result.status_);
   return result;
 }
 
-LogStatus HttpLog::Classify(const StreamName& aStream, const char* aWhat, const HttpAnswer& aAnswer)
+bool HttpLog::ReadOffsets(const Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult)
+{
+  const std::optional<common::Offset> first = OffsetHeader(aAnswer, "log-first");
+  const std::optional<common::Offset> next = OffsetHeader(aAnswer, "log-next");
+  if (!first || !next || *first > *next) {
+    ReportMalformed(aReading.stream_, "answer without valid Log-First and Log-Next");
+    return false;
+  }
+  aResult.first_ = *first;
+  aResult.next_ = *next;
+  return true;
+}
+
+bool HttpLog::TakeRecords(Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult)
 {
-  const bool hasStatus =
-    aAnswer.outcome_ == HttpOutcome::kAnswered || aAnswer.outcome_ == HttpOutcome::kEndedEarly;
-  const LogStatus status = hasStatus ? ToLogStatus(aAnswer.status_) : LogStatus::kUnavailable;
-  if (status != LogStatus::kOk) {
-    common::LogEvent(common::Severity::kWarn,
-                     "log_request_failed",
-                     { { "request", aWhat },
-                       { "stream", aStream.Get() },
-                       { "status", ToText(status) },
-                       { "http_status", static_cast<std::uint64_t>(aAnswer.status_) },
-                       { "reason", ToText(aAnswer.outcome_) } });
+  const bool isCut = aAnswer.outcome_ == HttpOutcome::kAnswered && !aReading.frames_.IsAtFrameEnd();
+  aResult.records_ = aReading.frames_.TakeRecords();
+  const bool isBeyondEnd =
+    !aResult.records_.empty() && aResult.records_.back().offset_ >= aResult.next_;
+  if (aReading.frames_.IsMalformed() || isCut || isBeyondEnd) {
+    ReportMalformed(aReading.stream_, "malformed record frames");
+    return false;
+  }
+  if (const std::uint64_t oversized = aReading.frames_.OversizedCount(); oversized > 0) {
+    counters_.Add("log_oversized_records_total", oversized);
+    common::LogEvent(common::Severity::kError,
+                     "log_record_oversized",
+                     { { "stream", aReading.stream_.Get() },
+                       { "offset", aResult.records_.back().offset_.Get() } });
   }
-  return status;
+  return true;
+}
+
+void HttpLog::Count(const char* aRequest, LogStatus aStatus)
+{
+  counters_.Add(std::string("log_") + aRequest + "_total{outcome=\"" + ToText(aStatus) + "\"}");
+}
+
+void HttpLog::ReportFailure(const char* aRequest,
+                            const StreamName& aStream,
+                            LogStatus aStatus,
+                            const HttpAnswer& aAnswer)
+{
+  common::LogEvent(common::Severity::kWarn,
+                   "log_request_failed",
+                   { { "request", aRequest },
+                     { "stream", aStream.Get() },
+                     { "status", ToText(aStatus) },
+                     { "http_status", static_cast<std::uint64_t>(aAnswer.status_) },
+                     { "reason", ToText(aAnswer.outcome_) } });
 }
 
 void HttpLog::ReportMalformed(const StreamName& aStream, const char* aReason)
--- a/src/dandelionstand/platform/HttpLog.h
+++ b/src/dandelionstand/platform/HttpLog.h
@@ -18,10 +18,12 @@
   common::Duration timeout_ = std::chrono::seconds(3);
   //! A read ends once its records take this much.
   std::size_t maxReadBytes_ = std::size_t{ 8 } * 1024 * 1024;
+  //! More requests at once are refused as kOverloaded without being sent.
+  std::size_t maxRunning_ = 64;
 };
 
-//! The log service over HTTP. Counters: `log_appends_total` and `log_reads_total` by outcome,
-//! `log_oversized_records_total`, `log_malformed_answers_total`.
+//! The log service over HTTP. Every failure is counted and logged. Counters: `log_appends_total`
+//! and `log_reads_total` by outcome, `log_oversized_records_total`, `log_malformed_answers_total`.
 class HttpLog : public Log
 {
 public:
@@ -34,11 +36,21 @@
             ReadCallback aCallback) override;
 
 private:
-  void RejectLater(const StreamName& aStream, AppendCallback aCallback);
-  AppendResult ToAppendResult(const StreamName& aStream, const HttpAnswer& aAnswer);
   class Reading;
+
+  bool IsFull() const { return client_.RunningCount() >= settings_.maxRunning_; }
+  void RefuseAppend(const StreamName& aStream, LogStatus aStatus, AppendCallback aCallback);
+  AppendResult ToAppendResult(const StreamName& aStream, const HttpAnswer& aAnswer);
   ReadResult ToReadResult(Reading& aReading, const HttpAnswer& aAnswer);
-  LogStatus Classify(const StreamName& aStream, const char* aWhat, const HttpAnswer& aAnswer);
+  //! Sets the offsets of a result from the headers; false if they are malformed.
+  bool ReadOffsets(const Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult);
+  //! Moves the records into the result; false if their frames are malformed.
+  bool TakeRecords(Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult);
+  void Count(const char* aRequest, LogStatus aStatus);
+  void ReportFailure(const char* aRequest,
+                     const StreamName& aStream,
+                     LogStatus aStatus,
+                     const HttpAnswer& aAnswer);
   void ReportMalformed(const StreamName& aStream, const char* aReason);
 
   common::EventLoop& loop_;
--- a/src/dandelionstand/platform/RecordFrames.cpp
+++ b/src/dandelionstand/platform/RecordFrames.cpp
@@ -1,6 +1,5 @@
 #include "dandelionstand/platform/RecordFrames.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace dandelionstand::platform {
@@ -48,7 +47,7 @@
 
 bool FrameReader::Feed(std::string_view aBytes)
 {
-  while (!aBytes.empty() && !isMalformed_ && totalBytes_ < maxTotalBytes_) {
+  while (!aBytes.empty() && !isMalformed_ && !isFull_) {
     const bool isInHead = bytesLeft_ == 0;
     const std::size_t wanted = isInHead ? kHeadBytes - head_.size() : bytesLeft_;
     const std::string_view piece = aBytes.substr(0, wanted);
@@ -58,15 +57,13 @@
       ReadHead();
       continue;
     }
-    if (!isSkipping_) {
-      record_.data_ += piece;
-    }
+    record_.data_ += piece;
     bytesLeft_ -= piece.size();
     if (bytesLeft_ == 0) {
       EndRecord();
     }
   }
-  return !isMalformed_ && totalBytes_ < maxTotalBytes_;
+  return !isMalformed_ && !isFull_;
 }
 
 void FrameReader::ReadHead()
@@ -79,20 +76,25 @@
   bytesLeft_ = ReadBigEndian(head.substr(kOffsetBytes));
   head_.clear();
   isMalformed_ = record_.offset_.Get() < leastOffset_;
-  isSkipping_ = bytesLeft_ > maxRecordBytes_;
-  if (!isMalformed_ && bytesLeft_ == 0) {
+  if (isMalformed_) {
+    return;
+  }
+  if (bytesLeft_ > maxRecordBytes_) {
+    ++oversizedCount_;
+    isFull_ = true;
+    bytesLeft_ = 0;
+  }
+  if (bytesLeft_ == 0) {
     EndRecord();
   }
 }
 
 void FrameReader::EndRecord()
 {
-  oversizedCount_ += isSkipping_ ? 1 : 0;
   leastOffset_ = record_.offset_.Get() + 1;
   totalBytes_ += kHeadBytes + record_.data_.size();
-  records_.push_back(std::move(record_));
-  record_ = Record();
-  isSkipping_ = false;
+  isFull_ = isFull_ || totalBytes_ >= maxTotalBytes_;
+  records_.push_back(std::exchange(record_, {}));
 }
 
 std::vector<Record> FrameReader::TakeRecords()
--- a/src/dandelionstand/platform/RecordFrames.h
+++ b/src/dandelionstand/platform/RecordFrames.h
@@ -15,14 +15,17 @@
 //! of length, both big-endian, and the record itself.
 void AppendFrame(const Record& aRecord, std::string& aOut);
 
-//! Takes the frames of an answer apart as its bytes arrive, with bounded memory.
+//! Takes the frames of an answer apart as its bytes arrive, with bounded memory. A record that is
+//! too long is delivered without its data as soon as its length is known, and ends the answer, so
+//! that no record can hold up those behind it.
 class FrameReader
 {
 public:
   //! aFrom is the offset that was asked for; aMaxTotalBytes bounds the records kept.
   FrameReader(common::Offset aFrom, std::size_t aMaxRecordBytes, std::size_t aMaxTotalBytes);
 
-  //! False if no more bytes are wanted: the bound is reached or a frame is malformed.
+  //! False if no more bytes are wanted: enough is kept, a record is too long, or a frame is
+  //! malformed.
   bool Feed(std::string_view aBytes);
 
   //! True if the bytes so far end with a whole frame.
@@ -45,8 +48,8 @@
   std::string head_;
   Record record_;
   std::size_t bytesLeft_ = 0;
-  bool isSkipping_ = false;
   bool isMalformed_ = false;
+  bool isFull_ = false;
   std::size_t totalBytes_ = 0;
   std::uint64_t oversizedCount_ = 0;
   std::vector<Record> records_;
--- a/standins/proxy/FaultProxy.cpp
+++ b/standins/proxy/FaultProxy.cpp
@@ -140,6 +140,13 @@
   }
 }
 
+void FaultProxy::FreezeAll()
+{
+  for (const auto& connection : connections_) {
+    connection->Freeze();
+  }
+}
+
 void FaultProxy::OnCounts(const ServerRequest& aRequest)
 {
   nlohmann::json counts = nlohmann::json::array();
--- a/standins/proxy/FaultProxy.h
+++ b/standins/proxy/FaultProxy.h
@@ -27,6 +27,8 @@
   //! Passes connections to aListen on to aForward; port 0 takes a free one. Returns the address
   //! that was bound.
   common::Address AddForward(const common::Address& aListen, const common::Address& aForward);
+  //! Makes all present connections silent for good.
+  void FreezeAll();
 
 private:
   void Accept(const ConnectionPlan& aPlan);
