Survive bad input from callers, the log and peers

Cause: a client that closed while we wrote ended the process by SIGPIPE unless the program had ignored it by itself; seen in the test program, exit 141. A caller that sent a body of 3 MiB saw a reset in place of the 413. After: the event loop ignores SIGPIPE, servers read on before they answer 413; 21 assertions in 3 test cases pass, a 10 MiB record in the log among them.

--- a/src/dandelionstand/common/EventLoop.cpp
+++ b/src/dandelionstand/common/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <csignal>
 #include <new>
 #include <utility>
 
@@ -69,6 +70,8 @@
 
 EventLoop::EventLoop()
 {
+  // A peer that closes while we write is an ordinary error, not the end of the process.
+  std::signal(SIGPIPE, SIG_IGN);
   event_config* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
   base_ = event_base_new_with_config(config);
--- a/src/dandelionstand/common/HttpServer.cpp
+++ b/src/dandelionstand/common/HttpServer.cpp
@@ -66,6 +66,9 @@
   if (http_ == nullptr) {
     throw std::bad_alloc();
   }
+  // Without it, a client that still sends a body that is too large sees a reset in place of the
+  // 413.
+  evhttp_set_flags(http_, EVHTTP_SERVER_LINGERING_CLOSE);
   HostAndPort listen;
   evhttp_bound_socket* socket = nullptr;
   if (ParseAddress(aListen.Get(), listen)) {
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -79,7 +79,6 @@
   SetUpAdmin();
   terminate_ = loop_.OnSignal(SIGTERM, [this] { OnTerminate(); });
   interrupt_ = loop_.OnSignal(SIGINT, [this] { OnTerminate(); });
-  std::signal(SIGPIPE, SIG_IGN);
 }
 
 Daemon::~Daemon() = default;
--- /dev/null
+++ b/tests/integration/BadInputTests.cpp
@@ -0,0 +1,142 @@
+#include "dandelionstand/peer/generated/envelope.pb.h"
+#include "tests/support/Documents.h"
+#include "tests/support/Fleet.h"
+#include "tests/support/Tcp.h"
+
+#include <catch2/catch.hpp>
+#include <zmq.h>
+
+using namespace dandelionstand;
+using namespace dandelionstand::tests;
+
+namespace {
+
+constexpr std::size_t kMiB = 1024 * 1024;
+
+FleetOptions OneInstance()
+{
+  FleetOptions options;
+  options.regions_ = MakeRegions(1, 1, 1, { "katalog" });
+  options.isProxied_ = false;
+  return options;
+}
+
+bool IsServing(FleetInstance& aInstance)
+{
+  return aInstance.Get("/katalog/cushions").status_ == 200;
+}
+
+//! Sends bytes as a caller and returns the first line of the answer.
+std::string AnswerTo(const FleetInstance& aInstance, const std::string& aBytes)
+{
+  TcpStream stream(aInstance.Addresses().callers_, "");
+  stream.Send(aBytes);
+  const std::string answer = stream.Receive(12, kGenerousDeadline);
+  return answer;
+}
+
+//! A ZeroMQ peer that sends whatever it is told.
+class RawPeer
+{
+public:
+  explicit RawPeer(const common::Address& aAddress)
+    : context_(zmq_ctx_new())
+    , socket_(zmq_socket(context_, ZMQ_DEALER))
+  {
+    const int linger = 10'000;
+    zmq_setsockopt(socket_, ZMQ_LINGER, &linger, sizeof(linger));
+    zmq_connect(socket_, ("tcp://" + aAddress.Get()).c_str());
+  }
+  ~RawPeer()
+  {
+    zmq_close(socket_);
+    zmq_ctx_term(context_);
+  }
+  RawPeer(const RawPeer&) = delete;
+  RawPeer& operator=(const RawPeer&) = delete;
+
+  void Send(const std::string& aBytes) { zmq_send(socket_, aBytes.data(), aBytes.size(), 0); }
+
+private:
+  void* context_;
+  void* socket_;
+};
+
+std::string WrongVersionEnvelope()
+{
+  peer::wire::Envelope envelope;
+  envelope.set_protocol_version(99);
+  envelope.set_sender("stranger");
+  return envelope.SerializeAsString();
+}
+
+void AppendRaw(const Fleet& aFleet, const std::string& aStream, const std::string& aBytes)
+{
+  const HttpReply reply =
+    HttpPost(aFleet.LogAddress(), "/v1/streams/" + aStream + "/records", aBytes);
+  REQUIRE(reply.status_ == 200);
+}
+
+} // namespace
+
+TEST_CASE("Bad HTTP from callers gets a 4xx answer and the daemon goes on", "[integration][input]")
+{
+  Fleet fleet(OneInstance());
+  fleet.Start();
+  REQUIRE(fleet.WaitForVersion(fleet.Publish(BrowseDocument("katalog"))));
+  FleetInstance& instance = fleet[0];
+  REQUIRE(WaitUntil([&] { return IsServing(instance); }));
+
+  const std::string longHeader(64 * 1024, 'x');
+  CHECK(AnswerTo(instance, "this is not HTTP\r\n\r\n").starts_with("HTTP/1.1 400"));
+  CHECK(AnswerTo(instance, "GET /katalog HTTP/1.1\r\nLong: " + longHeader + "\r\n\r\n")
+          .starts_with("HTTP/1.1 4"));
+  const HttpReply tooLarge = instance.Post("/katalog", std::string(3 * kMiB, 'x'));
+  CHECK(tooLarge.status_ == 413);
+  CHECK(instance.Get("/nowhere").status_ == 404);
+  CHECK(instance.Get("/nowhere").Header("dandelion-run") == "not-run");
+  CHECK(IsServing(instance));
+}
+
+TEST_CASE("Garbage in the log is counted and leaves the state in force", "[integration][input]")
+{
+  Fleet fleet(OneInstance());
+  fleet.Start();
+  const std::uint64_t version = fleet.Publish(BrowseDocument("katalog"));
+  REQUIRE(fleet.WaitForVersion(version));
+  FleetInstance& instance = fleet[0];
+
+  fleet.ControlLog({ { "max_record_bytes", 16 * kMiB }, { "max_read_bytes", 32 * kMiB } });
+  AppendRaw(fleet, "config", "not a record");
+  AppendRaw(fleet, "config", std::string(10 * kMiB, 'x'));
+  AppendRaw(fleet, "members", "not a member");
+  CHECK(WaitUntil([&] { return instance.Metric("dandelion_config_records_refused_total") >= 2; }));
+  CHECK(instance.Version() == version);
+
+  nlohmann::json next = BrowseDocument("katalog");
+  next["routes"]["browse"]["timeout_ms"] = 4000;
+  const std::uint64_t later = fleet.Publish(next);
+  CHECK(later == version + 3);
+  CHECK(fleet.WaitForVersion(later));
+  CHECK(WaitUntil([&] { return IsServing(instance); }));
+}
+
+TEST_CASE("Bad messages on a link are counted and the daemon goes on", "[integration][input]")
+{
+  Fleet fleet(OneInstance());
+  fleet.Start();
+  REQUIRE(fleet.WaitForVersion(fleet.Publish(BrowseDocument("katalog"))));
+  FleetInstance& instance = fleet[0];
+
+  TcpStream stranger(instance.Addresses().peers_, "");
+  stranger.Send("GET / HTTP/1.1\r\n\r\n");
+  RawPeer peer(instance.Addresses().peers_);
+  peer.Send("\xff\xff\xff\xff");
+  peer.Send(WrongVersionEnvelope());
+  peer.Send("");
+  CHECK(WaitUntil([&] { return instance.Metric("dandelion_peer_messages_invalid_total") >= 1; }));
+  CHECK(
+    WaitUntil([&] { return instance.Metric("dandelion_peer_messages_wrong_version_total") >= 1; }));
+  peer.Send(std::string(5 * kMiB, 'x'));
+  CHECK(WaitUntil([&] { return IsServing(instance); }));
+}
--- /dev/null
+++ b/tests/support/Documents.h
@@ -0,0 +1,15 @@
+#ifndef dandelionstand_tests_support_Documents_h
+#define dandelionstand_tests_support_Documents_h
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace dandelionstand::tests {
+
+//! A configuration with one service and an idempotent route for GET requests below "/" + its name.
+nlohmann::json BrowseDocument(const std::string& aService);
+
+} // namespace dandelionstand::tests
+
+#endif // dandelionstand_tests_support_Documents_h
