--- a/tests/integration/BadInputTests.cpp
+++ b/tests/integration/BadInputTests.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t kMiB = 1024 * 1024;
+constexpr std::size_t kMiB = std::size_t{ 1 } << 20;
 
 FleetOptions OneInstance()
 {
@@ -87,7 +87,7 @@
   FleetInstance& instance = fleet[0];
   REQUIRE(WaitUntil([&] { return IsServing(instance); }));
 
-  const std::string longHeader(64 * 1024, 'x');
+  const std::string longHeader(std::size_t{ 64 } << 10, 'x');
   CHECK(AnswerTo(instance, "this is not HTTP\r\n\r\n").starts_with("HTTP/1.1 400"));
   CHECK(AnswerTo(instance, "GET /katalog HTTP/1.1\r\nLong: " + longHeader + "\r\n\r\n")
           .starts_with("HTTP/1.1 4"));
