Decide the life of a call: attempts, retries, whole answers, continued downloads

Cause: no rule said when a request may be sent again or when an answer is whole.

CallMachine takes typed events and gives typed actions. A request is sent again after an unknown outcome only if it is idempotent; "not run" is told only if no attempt of the call may have run. A download goes on by Range and If-Range only for an equal strong ETag; anything else aborts the connection. Ruled out: sharing the deadline equally among the attempts (a slow but sound target would be cut off at a third of the time); half is kept for the next one. Drain refusals are free of the retry budget, since they carry no load.

--- /dev/null
+++ b/src/dandelionstand/caller/BodyCheck.h
@@ -0,0 +1,43 @@
+#ifndef dandelionstand_caller_BodyCheck_h
+#define dandelionstand_caller_BodyCheck_h
+
+#include "dandelionstand/caller/CallTypes.h"
+
+#include <memory>
+
+namespace dandelionstand::caller {
+
+//! Verifies the order, length and checksums of the body frames of one attempt.
+class BodyCheck
+{
+public:
+  enum class Frame
+  {
+    kNext,      //!< The expected frame, undamaged.
+    kDuplicate, //!< Seen before; to be dropped.
+    kBroken,    //!< A frame is missing, or the data is damaged.
+  };
+
+  BodyCheck();
+  ~BodyCheck();
+
+  Frame Add(const AttemptBody& aBody);
+  //! Whether the end frame fits what was added.
+  bool IsWhole(const AttemptEnd& aEnd) const;
+
+  std::uint64_t Length() const { return length_; }
+
+private:
+  struct HashState;
+
+  std::unique_ptr<HashState> hash_;
+  std::uint64_t nextSequence_ = 0;
+  std::uint64_t length_ = 0;
+};
+
+//! XXH3 of the bytes, as body frames carry it.
+std::uint64_t ChecksumOf(std::string_view aData);
+
+} // namespace dandelionstand::caller
+
+#endif // dandelionstand_caller_BodyCheck_h
--- /dev/null
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -0,0 +1,397 @@
+#include "dandelionstand/caller/CallMachine.h"
+
+#include "dandelionstand/caller/RetryBudget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionstand::caller {
+
+using config::Idempotency;
+
+namespace {
+
+constexpr std::uint32_t kBadGateway = 502;
+constexpr std::uint32_t kServiceUnavailable = 503;
+constexpr std::uint32_t kGatewayTimeout = 504;
+
+constexpr std::uint32_t kMostContinuations = 32;
+
+//! The target side gives up this much earlier, so that its refusal still arrives.
+constexpr common::Duration kAnswerMargin = std::chrono::milliseconds(30);
+constexpr int kMarginShare = 10;
+
+constexpr const char* kTimedOut = "timeout";
+constexpr const char* kBrokenAnswer = "broken-answer";
+
+//! Refusals that come without load: the endpoint is on its way out or has been replaced.
+bool IsFreeToRetry(const std::string& aReason)
+{
+  return aReason == "draining" || aReason == "target-not-ready" || aReason == "wrong-incarnation" ||
+         aReason == "not-sent";
+}
+
+common::Duration WithoutMargin(common::Duration aTimeLeft)
+{
+  return aTimeLeft - std::min(kAnswerMargin, aTimeLeft / kMarginShare);
+}
+
+} // namespace
+
+CallMachine::CallMachine(CallPlan aPlan, EndpointPicker& aPicker, RetryBudget& aBudget)
+  : plan_(aPlan)
+  , picker_(aPicker)
+  , budget_(aBudget)
+{
+}
+
+CallActions CallMachine::Begin(common::TimePoint aNow)
+{
+  CallActions actions;
+  budget_.AddCall(aNow);
+  lastProgress_ = aNow;
+  StartAttempt(aNow, actions);
+  return actions;
+}
+
+CallActions CallMachine::OnHead(std::uint32_t aAttempt, AttemptHead aHead, common::TimePoint aNow)
+{
+  CallActions actions;
+  if (!IsCurrent(aAttempt) || head_.has_value()) {
+    return actions;
+  }
+  lastProgress_ = aNow;
+  picker_.Progressed(endpoint_.instance_, aNow);
+  if (headSent_ && !progress_.Accepts(aHead, skip_)) {
+    CancelRunning(AttemptResult::kDropped, aNow, actions);
+    GiveUp({ "representation-changed", RunState::kRun }, actions);
+    return actions;
+  }
+  head_ = std::move(aHead);
+  check_.emplace();
+  return actions;
+}
+
+CallActions CallMachine::OnBody(std::uint32_t aAttempt, AttemptBody aBody, common::TimePoint aNow)
+{
+  CallActions actions;
+  if (!IsCurrent(aAttempt)) {
+    return actions;
+  }
+  lastProgress_ = aNow;
+  picker_.Progressed(endpoint_.instance_, aNow);
+  const auto frame = head_ ? check_->Add(aBody) : BodyCheck::Frame::kBroken;
+  if (frame == BodyCheck::Frame::kDuplicate) {
+    ++dropped_;
+    return actions;
+  }
+  if (frame == BodyCheck::Frame::kBroken) {
+    CancelRunning(AttemptResult::kFailed, aNow, actions);
+    AttemptBroke({ kBrokenAnswer, head_ ? RunState::kRun : RunState::kUnknown }, aNow, actions);
+    return actions;
+  }
+  credit_ -= std::min<std::uint64_t>(credit_, aBody.data_.size());
+  const std::uint64_t skipped = std::min<std::uint64_t>(skip_, aBody.data_.size());
+  if (skipped > 0) {
+    skip_ -= skipped;
+    credit_ += skipped;
+    aBody.data_.erase(0, skipped);
+    actions.push_back(GrantCredit{ attempt_, endpoint_, static_cast<std::uint32_t>(skipped) });
+  }
+  PassOn(std::move(aBody.data_), actions);
+  return actions;
+}
+
+CallActions CallMachine::OnEnd(std::uint32_t aAttempt,
+                               const AttemptEnd& aEnd,
+                               common::TimePoint aNow)
+{
+  CallActions actions;
+  if (!IsCurrent(aAttempt)) {
+    return actions;
+  }
+  picker_.Reported(endpoint_.instance_, aEnd.load_, aNow);
+  if (!head_ || !check_->IsWhole(aEnd) || skip_ > 0) {
+    EndAttempt(AttemptResult::kFailed, aNow);
+    AttemptBroke({ kBrokenAnswer, head_ ? RunState::kRun : RunState::kUnknown }, aNow, actions);
+    return actions;
+  }
+  EndAttempt(AttemptResult::kAnswered, aNow);
+  const AttemptFailed shed{ "target-unavailable", RunState::kRun };
+  if (!headSent_ && IsRetriedStatus(*head_) && MayRetry(shed, aNow)) {
+    mayHaveRun_ = RunState::kRun;
+    StartAttempt(aNow, actions);
+    return actions;
+  }
+  FlushHeld(actions);
+  actions.push_back(FinishAnswer{});
+  done_ = true;
+  return actions;
+}
+
+CallActions CallMachine::OnFailed(std::uint32_t aAttempt,
+                                  const AttemptFailed& aFailed,
+                                  common::TimePoint aNow)
+{
+  CallActions actions;
+  if (!IsCurrent(aAttempt)) {
+    return actions;
+  }
+  picker_.Reported(endpoint_.instance_, aFailed.load_, aNow);
+  // A target side that answers is alive; only what broke after the start counts against it.
+  const bool isRefusal = aFailed.runState_ == RunState::kNotRun;
+  EndAttempt(isRefusal ? AttemptResult::kRefused : AttemptResult::kFailed, aNow);
+  AttemptBroke(aFailed, aNow, actions);
+  return actions;
+}
+
+CallActions CallMachine::OnNotSent(std::uint32_t aAttempt, common::TimePoint aNow)
+{
+  CallActions actions;
+  if (!IsCurrent(aAttempt)) {
+    return actions;
+  }
+  EndAttempt(AttemptResult::kFailed, aNow);
+  AttemptBroke({ "not-sent", RunState::kNotRun }, aNow, actions);
+  return actions;
+}
+
+CallActions CallMachine::OnLinkLost(common::TimePoint aNow)
+{
+  CallActions actions;
+  if (!isRunning_) {
+    return actions;
+  }
+  EndAttempt(AttemptResult::kFailed, aNow);
+  AttemptBroke({ "link-lost", head_ ? RunState::kRun : RunState::kUnknown }, aNow, actions);
+  return actions;
+}
+
+CallActions CallMachine::OnCallerGone(common::TimePoint aNow)
+{
+  CallActions actions;
+  CancelRunning(AttemptResult::kDropped, aNow, actions);
+  done_ = true;
+  return actions;
+}
+
+CallActions CallMachine::OnTaken(std::uint32_t aBytes, common::TimePoint aNow)
+{
+  CallActions actions;
+  untaken_ -= std::min<std::uint64_t>(untaken_, aBytes);
+  if (!isRunning_ || aBytes == 0) {
+    return actions;
+  }
+  if (credit_ == 0) {
+    lastProgress_ = aNow;
+  }
+  credit_ += aBytes;
+  actions.push_back(GrantCredit{ attempt_, endpoint_, aBytes });
+  return actions;
+}
+
+CallActions CallMachine::OnTime(common::TimePoint aNow)
+{
+  CallActions actions;
+  if (done_ || aNow < NextDeadline()) {
+    return actions;
+  }
+  const AttemptFailed late{ kTimedOut, head_ ? RunState::kRun : RunState::kUnknown };
+  CancelRunning(AttemptResult::kFailed, aNow, actions);
+  AttemptBroke(late, aNow, actions);
+  return actions;
+}
+
+common::TimePoint CallMachine::NextDeadline() const
+{
+  if (done_) {
+    return common::TimePoint::max();
+  }
+  if (!headSent_) {
+    return std::min(attemptDeadline_, CallDeadline());
+  }
+  const common::TimePoint end = plan_.endDeadline_.value_or(common::TimePoint::max());
+  return IsWaitingForCaller() ? end : std::min(end, lastProgress_ + plan_.idleLimit_);
+}
+
+bool CallMachine::IsCurrent(std::uint32_t aAttempt)
+{
+  if (isRunning_ && aAttempt == attempt_) {
+    return true;
+  }
+  ++dropped_;
+  return false;
+}
+
+void CallMachine::StartAttempt(common::TimePoint aNow, CallActions& aActions)
+{
+  head_.reset();
+  check_.reset();
+  held_.clear();
+  skip_ = 0;
+  auto picked = picker_.Pick(tried_, aNow);
+  if (!picked && headSent_) {
+    // A continuation may go back to an endpoint that broke off before.
+    tried_.clear();
+    picked = picker_.Pick(tried_, aNow);
+  }
+  if (!picked) {
+    GiveUp({ "no-endpoint", headSent_ ? RunState::kRun : RunState::kNotRun }, aActions);
+    return;
+  }
+  endpoint_ = *picked;
+  tried_.push_back(endpoint_.instance_);
+  ++attempt_;
+  isRunning_ = true;
+  // What an earlier attempt sent and the caller has not taken still fills the window.
+  credit_ = kWindowBytes - std::min<std::uint64_t>(kWindowBytes, untaken_);
+  picker_.Started(endpoint_.instance_, aNow);
+
+  SendAttempt send{ attempt_, endpoint_ };
+  send.creditBytes_ = static_cast<std::uint32_t>(credit_);
+  if (headSent_) {
+    send.continuation_ = progress_.Next();
+    lastProgress_ = aNow;
+    send.timeLeft_ = WithoutMargin(NextDeadline() - aNow);
+  } else {
+    ++firstTries_;
+    const common::Duration left = CallDeadline() - aNow;
+    const bool mayHaveNext =
+      plan_.idempotency_ == Idempotency::kIdempotent && firstTries_ < plan_.attempts_;
+    // Half of the time is kept for an attempt elsewhere.
+    const common::Duration forAttempt = mayHaveNext ? left / 2 : left;
+    attemptDeadline_ = aNow + forAttempt;
+    send.timeLeft_ = WithoutMargin(forAttempt);
+  }
+  aActions.push_back(std::move(send));
+}
+
+void CallMachine::EndAttempt(AttemptResult aResult, common::TimePoint aNow)
+{
+  isRunning_ = false;
+  picker_.Ended(endpoint_.instance_, aResult, aNow);
+}
+
+void CallMachine::AttemptBroke(const AttemptFailed& aFailed,
+                               common::TimePoint aNow,
+                               CallActions& aActions)
+{
+  if (headSent_) {
+    ContinueDownload(aFailed, aNow, aActions);
+    return;
+  }
+  if (aFailed.runState_ != RunState::kNotRun) {
+    mayHaveRun_ = aFailed.runState_;
+  }
+  if (MayRetry(aFailed, aNow)) {
+    StartAttempt(aNow, aActions);
+    return;
+  }
+  GiveUp(aFailed, aActions);
+}
+
+bool CallMachine::MayRetry(const AttemptFailed& aFailed, common::TimePoint aNow)
+{
+  const bool isSafe =
+    aFailed.runState_ == RunState::kNotRun || plan_.idempotency_ == Idempotency::kIdempotent;
+  if (!isSafe || aFailed.deep_ || aNow >= CallDeadline() || firstTries_ >= plan_.attempts_) {
+    return false;
+  }
+  if (!picker_.HasOther(tried_)) {
+    return false;
+  }
+  return IsFreeToRetry(aFailed.reason_) || budget_.Spend(aNow);
+}
+
+void CallMachine::GiveUp(const AttemptFailed& aFailed, CallActions& aActions)
+{
+  done_ = true;
+  if (headSent_) {
+    aActions.push_back(AbortAnswer{ aFailed.reason_ });
+    return;
+  }
+  // A refusal of the last attempt says nothing about an earlier one that may have run.
+  const RunState runState = mayHaveRun_.value_or(aFailed.runState_);
+  std::uint32_t status = kBadGateway;
+  if (runState == RunState::kNotRun) {
+    status = kServiceUnavailable;
+  } else if (aFailed.reason_ == kTimedOut) {
+    status = kGatewayTimeout;
+  }
+  aActions.push_back(RefuseCall{ status, aFailed.reason_, runState, aFailed.deep_ });
+}
+
+void CallMachine::ContinueDownload(const AttemptFailed& aFailed,
+                                   common::TimePoint aNow,
+                                   CallActions& aActions)
+{
+  if (progress_.IsComplete()) {
+    aActions.push_back(FinishAnswer{});
+    done_ = true;
+    return;
+  }
+  const bool isInTime = aNow < plan_.endDeadline_.value_or(common::TimePoint::max());
+  if (!progress_.CanContinue() || !isInTime || continuations_ >= kMostContinuations) {
+    GiveUp(aFailed, aActions);
+    return;
+  }
+  ++continuations_;
+  StartAttempt(aNow, aActions);
+}
+
+bool CallMachine::IsRetriedStatus(const AttemptHead& aHead) const
+{
+  return plan_.idempotency_ == Idempotency::kIdempotent && aHead.status_ == kServiceUnavailable &&
+         FindHeader(aHead.headers_, "Dandelion-Deep").empty();
+}
+
+void CallMachine::PassOn(std::string aData, CallActions& aActions)
+{
+  if (aData.empty()) {
+    return;
+  }
+  if (headSent_) {
+    progress_.Passed(aData.size());
+    untaken_ += aData.size();
+    aActions.push_back(SendBody{ std::move(aData) });
+    return;
+  }
+  held_ += aData;
+  if (held_.size() > kHeldBytes) {
+    FlushHeld(aActions);
+  }
+}
+
+void CallMachine::FlushHeld(CallActions& aActions)
+{
+  if (headSent_) {
+    return;
+  }
+  progress_.Begin(*head_, plan_.mayContinue_);
+  aActions.push_back(SendHead{ head_->status_, head_->headers_ });
+  headSent_ = true;
+  PassOn(std::exchange(held_, std::string()), aActions);
+}
+
+void CallMachine::CancelRunning(AttemptResult aResult,
+                                common::TimePoint aNow,
+                                CallActions& aActions)
+{
+  if (!isRunning_) {
+    return;
+  }
+  aActions.push_back(CancelAttempt{ attempt_, endpoint_ });
+  EndAttempt(aResult, aNow);
+}
+
+common::TimePoint CallMachine::CallDeadline() const
+{
+  return std::min(plan_.headDeadline_, plan_.endDeadline_.value_or(common::TimePoint::max()));
+}
+
+bool CallMachine::IsWaitingForCaller() const
+{
+  return isRunning_ && head_.has_value() && credit_ == 0;
+}
+
+} // namespace dandelionstand::caller
--- a/src/dandelionstand/caller/EndpointPicker.cpp
+++ b/src/dandelionstand/caller/EndpointPicker.cpp
@@ -76,6 +76,13 @@
   return fallback->endpoint_;
 }
 
+bool EndpointPicker::HasOther(const std::vector<common::InstanceId>& aTried) const
+{
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& aEntry) {
+    return !Contains(aTried, aEntry.first);
+  });
+}
+
 void EndpointPicker::Started(const common::InstanceId& aInstance, common::TimePoint aNow)
 {
   const auto found = entries_.find(aInstance);
--- a/src/dandelionstand/caller/EndpointPicker.h
+++ b/src/dandelionstand/caller/EndpointPicker.h
@@ -78,6 +78,8 @@
   //! An endpoint that is not among aTried; nullopt if there is none.
   std::optional<Endpoint> Pick(const std::vector<common::InstanceId>& aTried,
                                common::TimePoint aNow);
+  //! Whether Pick would find an endpoint.
+  bool HasOther(const std::vector<common::InstanceId>& aTried) const;
 
   void Started(const common::InstanceId& aInstance, common::TimePoint aNow);
   //! A message of a running attempt arrived.
