Run the decisions of a call on the links and on HTTP

Cause: the thin path chose an endpoint at random, made one attempt, buffered answers without bound and closed its connection to the target after each call.

The caller side runs a CallMachine for each request; bodies stream within a window that follows what the caller's socket took; an answer that cannot be completed ends in a reset. The target side runs the SlotQueue, keeps connections alive within the limit, stops reading the target without credit, and says not-run only if evhttp has not written a byte of the request. Ruled out: reading on the caller's connection to see it leave (evhttp ends the process on input in that state); a peek at the socket is used.

--- /dev/null
+++ b/src/dandelionstand/caller/ActiveCall.cpp
@@ -0,0 +1,181 @@
+#include "dandelionstand/caller/ActiveCall.h"
+
+#include "dandelionstand/caller/ServicePolicies.h"
+#include "dandelionstand/common/Counters.h"
+#include "dandelionstand/common/EventLog.h"
+#include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/peer/Transport.h"
+#include "dandelionstand/peer/generated/envelope.pb.h"
+
+#include <utility>
+
+namespace dandelionstand::caller {
+
+namespace {
+
+peer::PeerRef RefOf(const Endpoint& aEndpoint)
+{
+  return { aEndpoint.address_, "" };
+}
+
+} // namespace
+
+AnswerSink::~AnswerSink() = default;
+
+ActiveCall::ActiveCall(const CallContext& aContext,
+                       common::RequestId aId,
+                       CallRoute aRoute,
+                       CallerRequest aRequest,
+                       const CallPlan& aPlan,
+                       ServicePolicy& aPolicy,
+                       AnswerSink& aSink,
+                       Done aDone)
+  : context_(aContext)
+  , id_(aId)
+  , route_(std::move(aRoute))
+  , request_(std::move(aRequest))
+  , machine_(aPlan, aPolicy.picker_, aPolicy.budget_)
+  , sink_(aSink)
+  , done_(std::move(aDone))
+{
+}
+
+ActiveCall::~ActiveCall() = default;
+
+void ActiveCall::Begin()
+{
+  Run(machine_.Begin(common::Now()));
+}
+
+void ActiveCall::OnAnswer(const peer::wire::Envelope& aEnvelope)
+{
+  const common::TimePoint now = common::Now();
+  const std::uint64_t droppedBefore = machine_.Dropped();
+  CallActions actions;
+  if (aEnvelope.has_answer_head()) {
+    const auto& head = aEnvelope.answer_head();
+    actions = machine_.OnHead(head.attempt(), ToAttemptHead(head), now);
+  } else if (aEnvelope.has_answer_body()) {
+    const auto& body = aEnvelope.answer_body();
+    actions = machine_.OnBody(body.attempt(), ToAttemptBody(body), now);
+  } else if (aEnvelope.has_answer_end()) {
+    const auto& end = aEnvelope.answer_end();
+    actions = machine_.OnEnd(end.attempt(), ToAttemptEnd(end), now);
+  } else if (aEnvelope.has_answer_failed()) {
+    const auto& failed = aEnvelope.answer_failed();
+    actions = machine_.OnFailed(failed.attempt(), ToAttemptFailed(failed), now);
+  }
+  context_.counters_.Add("caller_answers_dropped_total", machine_.Dropped() - droppedBefore);
+  Run(std::move(actions));
+}
+
+void ActiveCall::OnLinkLost(const common::Address& aAddress)
+{
+  if (machine_.Attempt() != 0 && machine_.CurrentEndpoint().address_ == aAddress) {
+    Run(machine_.OnLinkLost(common::Now()));
+  }
+}
+
+void ActiveCall::OnCallerGone()
+{
+  Run(machine_.OnCallerGone(common::Now()));
+}
+
+void ActiveCall::OnTaken(std::uint32_t aBytes)
+{
+  Run(machine_.OnTaken(aBytes, common::Now()));
+}
+
+void ActiveCall::Run(CallActions aActions)
+{
+  for (CallAction& action : aActions) {
+    Perform(action);
+  }
+  if (machine_.IsDone()) {
+    timer_.reset();
+    const Done done = std::exchange(done_, nullptr);
+    if (done) {
+      done(id_);
+    }
+    return;
+  }
+  ArmTimer();
+}
+
+void ActiveCall::Perform(CallAction& aAction)
+{
+  if (const auto* attempt = std::get_if<SendAttempt>(&aAction)) {
+    Send(*attempt);
+  } else if (const auto* cancel = std::get_if<CancelAttempt>(&aAction)) {
+    Cancel(*cancel);
+  } else if (const auto* grant = std::get_if<GrantCredit>(&aAction)) {
+    Grant(*grant);
+  } else if (const auto* head = std::get_if<SendHead>(&aAction)) {
+    sink_.SendHead(head->status_, head->headers_);
+  } else if (const auto* body = std::get_if<SendBody>(&aAction)) {
+    sink_.SendBody(body->data_);
+  } else if (std::holds_alternative<FinishAnswer>(aAction)) {
+    sink_.Finish();
+  } else if (const auto* refusal = std::get_if<RefuseCall>(&aAction)) {
+    const bool isDeep = refusal->deep_ || request_.depth_ > 0;
+    sink_.Refuse({ refusal->status_, refusal->reason_, refusal->runState_, isDeep });
+  } else if (const auto* abort = std::get_if<AbortAnswer>(&aAction)) {
+    sink_.Abort(abort->reason_);
+  }
+}
+
+void ActiveCall::Send(const SendAttempt& aAttempt)
+{
+  context_.counters_.Add("caller_attempts_total");
+  if (aAttempt.attempt_ > 1) {
+    common::LogEvent(
+      common::Severity::kInfo,
+      "call_retried",
+      { { "request", id_.Get() },
+        { "attempt", aAttempt.attempt_ },
+        { "peer", aAttempt.endpoint_.instance_.Get() },
+        { "from_byte", aAttempt.continuation_ ? aAttempt.continuation_->offset_ : 0 } });
+  }
+  peer::wire::Envelope envelope;
+  peer::wire::CallStart& start = *envelope.mutable_call_start();
+  start.set_request_id(id_.Get());
+  FillCallStart(route_, request_, aAttempt, start);
+  if (!context_.transport_.Send(RefOf(aAttempt.endpoint_), envelope)) {
+    for (CallAction& action : machine_.OnNotSent(aAttempt.attempt_, common::Now())) {
+      Perform(action);
+    }
+  }
+}
+
+void ActiveCall::Cancel(const CancelAttempt& aAttempt)
+{
+  peer::wire::Envelope envelope;
+  envelope.mutable_call_cancel()->set_request_id(id_.Get());
+  envelope.mutable_call_cancel()->set_attempt(aAttempt.attempt_);
+  context_.transport_.Send(RefOf(aAttempt.endpoint_), envelope);
+}
+
+void ActiveCall::Grant(const GrantCredit& aGrant)
+{
+  peer::wire::Envelope envelope;
+  envelope.mutable_call_credit()->set_request_id(id_.Get());
+  envelope.mutable_call_credit()->set_attempt(aGrant.attempt_);
+  envelope.mutable_call_credit()->set_bytes(aGrant.bytes_);
+  context_.transport_.Send(RefOf(aGrant.endpoint_), envelope);
+}
+
+void ActiveCall::ArmTimer()
+{
+  const common::TimePoint deadline = machine_.NextDeadline();
+  const bool isArmedInTime = timer_ && timerAt_ <= deadline;
+  if (deadline == common::TimePoint::max() || isArmedInTime) {
+    return;
+  }
+  timerAt_ = deadline;
+  timer_ = context_.loop_.After(deadline - common::Now(), [this] {
+    timer_.reset();
+    Run(machine_.OnTime(common::Now()));
+  });
+}
+
+} // namespace dandelionstand::caller
--- a/src/dandelionstand/caller/CallTypes.cpp
+++ b/src/dandelionstand/caller/CallTypes.cpp
@@ -1,23 +1,13 @@
 #include "dandelionstand/caller/CallTypes.h"
 
+#include "dandelionstand/common/HttpHeaders.h"
+
 #include <algorithm>
-#include <cctype>
 
 namespace dandelionstand::caller {
 
 namespace {
 
-bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight)
-{
-  return std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    aRight.end(),
-                    [](unsigned char aOne, unsigned char aOther) {
-                      return std::tolower(aOne) == std::tolower(aOther);
-                    });
-}
-
 //! Writes each kind of action as one line.
 struct ActionText
 {
@@ -81,7 +71,7 @@
 std::string_view FindHeader(const Headers& aHeaders, std::string_view aName)
 {
   const auto found = std::find_if(aHeaders.begin(), aHeaders.end(), [&](const Header& aHeader) {
-    return EqualsIgnoringCase(aHeader.name_, aName);
+    return common::EqualsIgnoringCase(aHeader.name_, aName);
   });
   return found == aHeaders.end() ? std::string_view() : std::string_view(found->value_);
 }
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -1,132 +1,114 @@
 #include "dandelionstand/caller/CallerServer.h"
 
+#include "dandelionstand/caller/CallerConnection.h"
 #include "dandelionstand/common/Counters.h"
+#include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/common/EventLoop.h"
-#include "dandelionstand/peer/EndpointDirectory.h"
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/peer/generated/envelope.pb.h"
 
-#include <event2/buffer.h>
 #include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <sigc++/functors/mem_fun.h>
-#include <xxhash.h>
 
-#include <array>
-#include <string_view>
-#include <strings.h>
+#include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace dandelionstand::caller {
 
 namespace {
 
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-constexpr int kNotFound = 404;
+constexpr std::uint32_t kBadRequest = 400;
+constexpr std::uint32_t kNotFound = 404;
+constexpr std::uint32_t kUnavailable = 503;
 
-constexpr std::array<std::string_view, 9> kHopByHopHeaders = {
-  "connection",          "keep-alive", "proxy-authenticate",
-  "proxy-authorization", "te",         "trailer",
-  "transfer-encoding",   "upgrade",    "host",
-};
+//! Chains of calls are up to 13 deep; more than this is a loop.
+constexpr std::uint32_t kMaxDepth = 32;
 
-bool IsHopByHop(const char* aName)
-{
-  for (const std::string_view name : kHopByHopHeaders) {
-    if (strcasecmp(aName, name.data()) == 0) {
-      return true;
-    }
-  }
-  return false;
-}
+constexpr int kAllowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                                EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH;
 
-std::string MethodName(evhttp_cmd_type aMethod)
+Refusal NotRun(std::uint32_t aStatus, const std::string& aReason)
 {
-  switch (aMethod) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_HEAD:
-      return "HEAD";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    case EVHTTP_REQ_PATCH:
-      return "PATCH";
-    default:
-      return "";
-  }
+  return { aStatus, aReason, RunState::kNotRun, false };
 }
 
-const char* RunText(peer::wire::RunState aState)
+//! The incarnation and the request id that an answer names; false if it is no answer.
+bool ReadAnswerId(const peer::wire::Envelope& aEnvelope,
+                  common::Incarnation& aCaller,
+                  common::RequestId& aId)
 {
-  switch (aState) {
-    case peer::wire::NOT_RUN:
-      return "not-run";
-    case peer::wire::RUN:
-      return "run";
+  const auto read = [&](const auto& aAnswer) {
+    aCaller = common::Incarnation(aAnswer.caller_incarnation());
+    aId = common::RequestId(aAnswer.request_id());
+    return true;
+  };
+  switch (aEnvelope.body_case()) {
+    case peer::wire::Envelope::kAnswerHead:
+      return read(aEnvelope.answer_head());
+    case peer::wire::Envelope::kAnswerBody:
+      return read(aEnvelope.answer_body());
+    case peer::wire::Envelope::kAnswerEnd:
+      return read(aEnvelope.answer_end());
+    case peer::wire::Envelope::kAnswerFailed:
+      return read(aEnvelope.answer_failed());
     default:
-      return "unknown";
+      return false;
   }
 }
 
-void CopyHeaders(evhttp_request* aRequest, peer::wire::CallStart& aStart)
+PickerSettings PickerSettingsOf(const CallerServerSettings& aSettings)
 {
-  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  for (const evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    if (!IsHopByHop(header->key)) {
-      peer::wire::Header& added = *aStart.add_headers();
-      added.set_name(header->key);
-      added.set_value(header->value);
-    }
-  }
+  PickerSettings settings;
+  settings.failureDomain_ = aSettings.failureDomain_;
+  settings.region_ = aSettings.region_;
+  return settings;
 }
 
 } // namespace
 
-//! A request from a caller that waits for its answer.
-struct CallerServer::Call
+//! A caller's request from its arrival until its answer is written.
+class CallerServer::Exchange : public AnswerSink
 {
-  CallerServer* server_ = nullptr;
-  std::uint64_t requestId_ = 0;
-  evhttp_request* request_ = nullptr;
-  peer::PeerRef endpoint_;
-  std::unique_ptr<common::Watch> timeout_;
-  bool hasHead_ = false;
-  std::uint64_t nextSequence_ = 0;
-  std::uint64_t length_ = 0;
-  XXH3_state_t* hash_ = XXH3_createState();
-
-  Call() { XXH3_64bits_reset(hash_); }
-  Call(const Call&) = delete;
-  Call& operator=(const Call&) = delete;
-  ~Call()
+public:
+  Exchange(CallerServer& aServer, evhttp_request* aRequest)
+    : server_(aServer)
+    , connection_(aServer.context_.loop_, aRequest, [this](const CallerConnection&) {
+      server_.EndExchange(*this);
+    })
   {
-    XXH3_freeState(hash_);
-    evhttp_connection* connection =
-      request_ == nullptr ? nullptr : evhttp_request_get_connection(request_);
-    if (connection != nullptr) {
-      evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    }
   }
 
-  //! Ends a begun answer so that the caller sees that it is not whole.
-  void Abort()
+  CallerConnection& Connection() { return connection_; }
+
+  void SendHead(std::uint32_t aStatus, const Headers& aHeaders) override
   {
-    evhttp_connection* connection = evhttp_request_get_connection(request_);
-    request_ = nullptr;
-    if (connection != nullptr) {
-      evhttp_connection_set_closecb(connection, nullptr, nullptr);
-      evhttp_connection_free(connection);
-    }
+    connection_.SendHead(aStatus, aHeaders);
+  }
+  void SendBody(const std::string& aData) override { connection_.SendBody(aData); }
+  void Finish() override
+  {
+    server_.CountOutcome("answered");
+    connection_.Unwatch();
+    connection_.Finish();
   }
+  void Refuse(const Refusal& aRefusal) override
+  {
+    server_.CountOutcome(std::string(ToText(aRefusal.runState_)));
+    server_.context_.counters_.Add("caller_refusals_total{reason=\"" + aRefusal.reason_ + "\"}");
+    connection_.Unwatch();
+    connection_.Refuse(aRefusal);
+  }
+  void Abort(const std::string& aReason) override
+  {
+    server_.CountOutcome("broken-off");
+    common::LogEvent(common::Severity::kWarn, "answer_broken_off", { { "reason", aReason } });
+    connection_.Unwatch();
+    connection_.Abort();
+  }
+
+private:
+  CallerServer& server_;
+  CallerConnection connection_;
 };
 
 CallerServer::CallerServer(common::EventLoop& aLoop,
@@ -135,230 +117,183 @@
                            const peer::EndpointDirectory& aDirectory,
                            ConfigSource aConfig,
                            const CallerServerSettings& aSettings)
-  : loop_(aLoop)
-  , counters_(aCounters)
-  , transport_(aTransport)
-  , directory_(aDirectory)
+  : context_{ aLoop, aCounters, aTransport }
   , config_(std::move(aConfig))
+  , settings_(aSettings)
+  , policies_(aDirectory, PickerSettingsOf(aSettings), aSettings.seed_)
   , server_(aLoop, aSettings.listen_)
-  , random_(aSettings.seed_)
 {
   evhttp_set_max_body_size(server_.Get(), static_cast<ev_ssize_t>(aSettings.maxBodyBytes_));
   evhttp_set_max_headers_size(server_.Get(), static_cast<ev_ssize_t>(aSettings.maxHeaderBytes_));
-  evhttp_set_allowed_methods(server_.Get(),
-                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
-                               EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
+  evhttp_set_allowed_methods(server_.Get(), kAllowedMethods);
   server_.HandleRest([this](evhttp_request* aRequest) { OnRequest(aRequest); });
-  transport_.Received().connect(sigc::mem_fun(*this, &CallerServer::OnEnvelope));
+  aTransport.Received().connect(sigc::mem_fun(*this, &CallerServer::OnEnvelope));
+  aTransport.LinkLost().connect(sigc::mem_fun(*this, &CallerServer::OnLinkLost));
 }
 
-CallerServer::~CallerServer() = default;
+CallerServer::~CallerServer()
+{
+  calls_.clear();
+  exchanges_.clear();
+}
 
 void CallerServer::OnRequest(evhttp_request* aRequest)
 {
-  counters_.Add("caller_requests_total");
-  const config::ConfigStatePtr config = config_();
+  context_.counters_.Add("caller_requests_total");
+  auto exchange = std::make_unique<Exchange>(*this, aRequest);
+  Exchange& added = *exchange;
+  exchanges_[&added] = std::move(exchange);
+  Dispatch(added, added.Connection().TakeRequest());
+}
+
+void CallerServer::Dispatch(Exchange& aExchange, CallerRequest aRequest)
+{
+  if (!aRequest.isValid_ || aRequest.depth_ > kMaxDepth) {
+    aExchange.Refuse(NotRun(kBadRequest, aRequest.isValid_ ? "too-deep" : "bad-header"));
+    return;
+  }
   if (isDraining_) {
-    Refuse(aRequest, kUnavailable, "draining", "not-run");
+    aExchange.Refuse(NotRun(kUnavailable, "draining"));
     return;
   }
+  const config::ConfigStatePtr config = config_();
   if (!config) {
-    Refuse(aRequest, kUnavailable, "no-configuration", "not-run");
+    aExchange.Refuse(NotRun(kUnavailable, "no-configuration"));
     return;
   }
-  const std::string method = MethodName(evhttp_request_get_command(aRequest));
-  const char* path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(aRequest));
-  const auto* route = config->Match(method, path == nullptr ? "" : path);
+  const auto* route = config->Match(aRequest.method_, aRequest.path_);
   if (route == nullptr) {
-    Refuse(aRequest, kNotFound, "no-route", "not-run");
-    return;
-  }
-  StartCall(aRequest, method, *config, *route);
-}
-
-void CallerServer::StartCall(
-  evhttp_request* aRequest,
-  const std::string& aMethod,
-  const config::ConfigState& aConfig,
-  const std::pair<const config::RouteName, config::Versioned<config::Route>>& aRoute)
-{
-  const config::Route& route = aRoute.second.value_;
-  const std::vector<peer::Endpoint> endpoints = directory_.EndpointsOf(route.endpoints_);
-  if (endpoints.empty()) {
-    Refuse(aRequest, kUnavailable, "no-endpoint", "not-run");
+    aExchange.Refuse(NotRun(kNotFound, "no-route"));
     return;
   }
-  const peer::Endpoint& endpoint = endpoints[random_() % endpoints.size()];
-  auto call = std::make_unique<Call>();
-  call->server_ = this;
-  call->requestId_ = ++lastRequestId_;
-  call->request_ = aRequest;
-  call->endpoint_.address_ = endpoint.address_;
-  const std::uint64_t requestId = call->requestId_;
-  call->timeout_ = loop_.After(route.timeout_, [this, requestId] { OnTimeout(requestId); });
-  evhttp_connection_set_closecb(
-    evhttp_request_get_connection(aRequest),
-    [](evhttp_connection*, void* aCall) { OnCallerGone(nullptr, aCall); },
-    call.get());
-
-  peer::wire::Envelope envelope;
-  peer::wire::CallStart& start = *envelope.mutable_call_start();
-  start.set_request_id(requestId);
-  start.set_attempt(1);
-  start.set_target_incarnation(endpoint.incarnation_.Get());
-  start.set_service(route.endpoints_.Get());
-  start.set_route(aRoute.first.Get());
-  start.set_config_version(aConfig.version_.Get());
-  start.set_idempotency(static_cast<peer::wire::Idempotency>(route.idempotency_));
-  start.set_traffic_class(static_cast<peer::wire::TrafficClass>(route.trafficClass_));
-  start.set_time_left_ms(static_cast<std::uint32_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(route.timeout_).count()));
-  start.set_method(aMethod);
-  start.set_path(evhttp_request_get_uri(aRequest));
-  CopyHeaders(aRequest, start);
-  start.set_body(common::BodyOf(aRequest));
-  const bool isSent = transport_.Send(call->endpoint_, envelope);
-  if (!isSent) {
-    call.reset();
-    Refuse(aRequest, kUnavailable, "link-full", "not-run");
+  if (bodyBytes_ + aRequest.body_.size() > settings_.bodyMemoryBytes_) {
+    aExchange.Refuse(NotRun(kUnavailable, "body-memory"));
     return;
   }
-  calls_[requestId] = std::move(call);
+  StartCall(
+    aExchange, std::move(aRequest), { route->first, config->version_, route->second.value_ });
 }
 
-CallerServer::Call* CallerServer::Find(std::uint64_t aRequestId)
+void CallerServer::StartCall(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute)
 {
-  const auto found = calls_.find(aRequestId);
-  if (found == calls_.end()) {
-    counters_.Add("caller_answers_unmatched_total");
-    return nullptr;
+  const common::RequestId id(++lastRequestId_);
+  const config::ConfigStatePtr config = config_();
+  const auto& service = aRoute.route_.endpoints_;
+  const auto endpoints = config->endpoints_.find(service);
+  config::Limits limits;
+  if (endpoints != config->endpoints_.end()) {
+    const auto found = config->limits_.find(endpoints->second.value_.limits_);
+    limits = found == config->limits_.end() ? limits : found->second.value_;
   }
-  return found->second.get();
+  ServicePolicy& policy = policies_.For(service, limits, common::Now());
+  const CallPlan plan = MakePlan(aRequest, aRoute.route_);
+  bodyBytes_ += aRequest.body_.size();
+  auto call = std::make_unique<ActiveCall>(context_,
+                                           id,
+                                           std::move(aRoute),
+                                           std::move(aRequest),
+                                           plan,
+                                           policy,
+                                           aExchange,
+                                           [this](common::RequestId aId) { EraseCall(aId); });
+  ActiveCall& added = *call;
+  calls_[id] = std::move(call);
+  const auto withCall = [this, id](auto aAction) {
+    ActiveCall* found = FindCall(id);
+    if (found != nullptr) {
+      aAction(*found);
+    }
+  };
+  aExchange.Connection().Watch(
+    [this, withCall] {
+      context_.counters_.Add("caller_disconnects_total");
+      withCall([](ActiveCall& aCall) { aCall.OnCallerGone(); });
+    },
+    [withCall](std::uint32_t aBytes) {
+      withCall([aBytes](ActiveCall& aCall) { aCall.OnTaken(aBytes); });
+    });
+  added.Begin();
 }
 
-void CallerServer::OnEnvelope(const peer::PeerRef&, const peer::wire::Envelope& aEnvelope)
+CallPlan CallerServer::MakePlan(const CallerRequest& aRequest, const config::Route& aRoute) const
 {
-  if (aEnvelope.has_answer_head()) {
-    OnHead(aEnvelope.answer_head());
-  } else if (aEnvelope.has_answer_body()) {
-    OnBody(aEnvelope.answer_body());
-  } else if (aEnvelope.has_answer_end()) {
-    OnEnd(aEnvelope.answer_end());
-  } else if (aEnvelope.has_answer_failed()) {
-    OnFailed(aEnvelope.answer_failed());
+  const common::TimePoint now = common::Now();
+  const bool hasRange = !FindHeader(aRequest.headers_, "Range").empty();
+  CallPlan plan;
+  plan.idempotency_ = aRoute.idempotency_;
+  plan.headDeadline_ =
+    now + std::min(aRoute.timeout_, aRequest.timeLeft_.value_or(aRoute.timeout_));
+  plan.idleLimit_ = aRoute.timeout_;
+  plan.attempts_ = std::max(1U, aRoute.attempts_);
+  plan.mayContinue_ = aRequest.method_ == "GET" && !hasRange;
+  if (aRoute.trafficClass_ != config::TrafficClass::kDownload) {
+    plan.endDeadline_ = plan.headDeadline_;
+  } else if (aRequest.timeLeft_) {
+    plan.endDeadline_ = now + *aRequest.timeLeft_;
   }
+  return plan;
 }
 
-void CallerServer::OnHead(const peer::wire::AnswerHead& aHead)
+void CallerServer::OnEnvelope(const peer::PeerRef&, const peer::wire::Envelope& aEnvelope)
 {
-  Call* call = Find(aHead.request_id());
-  if (call == nullptr || call->hasHead_) {
+  common::Incarnation caller;
+  common::RequestId id;
+  if (!ReadAnswerId(aEnvelope, caller, id)) {
     return;
   }
-  call->hasHead_ = true;
-  evkeyvalq* headers = evhttp_request_get_output_headers(call->request_);
-  for (const peer::wire::Header& header : aHead.headers()) {
-    if (!IsHopByHop(header.name().c_str())) {
-      evhttp_add_header(headers, header.name().c_str(), header.value().c_str());
-    }
-  }
-  evhttp_send_reply_start(call->request_, static_cast<int>(aHead.status()), nullptr);
-}
-
-void CallerServer::OnBody(const peer::wire::AnswerBody& aBody)
-{
-  Call* call = Find(aBody.request_id());
-  if (call == nullptr || !call->hasHead_ || aBody.sequence() != call->nextSequence_) {
+  ActiveCall* call = caller == settings_.incarnation_ ? FindCall(id) : nullptr;
+  if (call == nullptr) {
+    context_.counters_.Add("caller_answers_dropped_total");
     return;
   }
-  ++call->nextSequence_;
-  call->length_ += aBody.data().size();
-  XXH3_64bits_update(call->hash_, aBody.data().data(), aBody.data().size());
-  evbuffer* data = evbuffer_new();
-  evbuffer_add(data, aBody.data().data(), aBody.data().size());
-  evhttp_send_reply_chunk(call->request_, data);
-  evbuffer_free(data);
+  call->OnAnswer(aEnvelope);
 }
 
-void CallerServer::OnEnd(const peer::wire::AnswerEnd& aEnd)
+void CallerServer::OnLinkLost(const common::Address& aAddress)
 {
-  Call* call = Find(aEnd.request_id());
-  if (call == nullptr) {
-    return;
+  std::vector<common::RequestId> ids;
+  ids.reserve(calls_.size());
+  for (const auto& entry : calls_) {
+    ids.push_back(entry.first);
   }
-  const bool isWhole = call->hasHead_ && call->length_ == aEnd.length() &&
-                       XXH3_64bits_digest(call->hash_) == aEnd.checksum();
-  if (isWhole) {
-    counters_.Add("caller_outcomes_total{outcome=\"answered\"}");
-    evhttp_request* request = call->request_;
-    calls_.erase(aEnd.request_id());
-    evhttp_send_reply_end(request);
-    return;
+  for (const common::RequestId id : ids) {
+    ActiveCall* call = FindCall(id);
+    if (call != nullptr) {
+      call->OnLinkLost(aAddress);
+    }
   }
-  counters_.Add("caller_answers_incomplete_total");
-  call->Abort();
-  calls_.erase(aEnd.request_id());
 }
 
-void CallerServer::OnFailed(const peer::wire::AnswerFailed& aFailed)
+ActiveCall* CallerServer::FindCall(common::RequestId aId)
 {
-  Call* call = Find(aFailed.request_id());
-  if (call == nullptr) {
-    return;
-  }
-  if (call->hasHead_) {
-    call->Abort();
-  } else {
-    evhttp_request* request = call->request_;
-    const bool isNotRun = aFailed.run_state() == peer::wire::NOT_RUN;
-    calls_.erase(aFailed.request_id());
-    Refuse(request,
-           isNotRun ? kUnavailable : kBadGateway,
-           aFailed.reason().c_str(),
-           RunText(aFailed.run_state()));
-  }
-  calls_.erase(aFailed.request_id());
+  const auto found = calls_.find(aId);
+  return found == calls_.end() ? nullptr : found->second.get();
 }
 
-void CallerServer::OnTimeout(std::uint64_t aRequestId)
+void CallerServer::EraseCall(common::RequestId aId)
 {
-  Call* call = Find(aRequestId);
-  if (call == nullptr) {
-    return;
-  }
-  evhttp_request* request = call->request_;
-  if (call->hasHead_) {
-    call->Abort();
-    calls_.erase(aRequestId);
+  const auto found = calls_.find(aId);
+  if (found == calls_.end()) {
     return;
   }
-  calls_.erase(aRequestId);
-  Refuse(request, kGatewayTimeout, "timeout", "unknown");
+  bodyBytes_ -= found->second->BodyBytes();
+  calls_.erase(found);
 }
 
-void CallerServer::OnCallerGone(evhttp_request*, void* aCall)
+void CallerServer::EndExchange(const Exchange& aExchange)
 {
-  auto* call = static_cast<Call*>(aCall);
-  CallerServer* server = call->server_;
-  server->counters_.Add("caller_disconnects_total");
-  peer::wire::Envelope envelope;
-  envelope.mutable_call_cancel()->set_request_id(call->requestId_);
-  envelope.mutable_call_cancel()->set_attempt(1);
-  server->transport_.Send(call->endpoint_, envelope);
-  call->request_ = nullptr;
-  server->calls_.erase(call->requestId_);
+  const auto found = exchanges_.find(&aExchange);
+  if (found == exchanges_.end()) {
+    return;
+  }
+  ended_.push_back(std::move(found->second));
+  exchanges_.erase(found);
+  reaper_ = context_.loop_.After(common::Duration(0), [this] { ended_.clear(); });
 }
 
-void CallerServer::Refuse(evhttp_request* aRequest,
-                          int aStatus,
-                          const char* aReason,
-                          const char* aRun)
+void CallerServer::CountOutcome(const std::string& aOutcome)
 {
-  counters_.Add(std::string("caller_outcomes_total{outcome=\"") + aRun + "\"}");
-  evkeyvalq* headers = evhttp_request_get_output_headers(aRequest);
-  evhttp_add_header(headers, "Dandelion-Reason", aReason);
-  evhttp_add_header(headers, "Dandelion-Run", aRun);
-  common::SendReply(aRequest, aStatus, "text/plain", std::string(aReason) + "\n");
+  context_.counters_.Add("caller_outcomes_total{outcome=\"" + aOutcome + "\"}");
 }
 
 } // namespace dandelionstand::caller
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -1,6 +1,8 @@
 #ifndef dandelionstand_caller_CallerServer_h
 #define dandelionstand_caller_CallerServer_h
 
+#include "dandelionstand/caller/ActiveCall.h"
+#include "dandelionstand/caller/ServicePolicies.h"
 #include "dandelionstand/common/HttpServer.h"
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
@@ -12,43 +14,30 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
-#include <string>
+#include <unordered_map>
+#include <vector>
 
 struct evhttp_request;
 
-namespace dandelionstand::common {
-class Counters;
-class EventLoop;
-class Watch;
-} // namespace dandelionstand::common
-
 namespace dandelionstand::peer {
-class EndpointDirectory;
-class Transport;
 struct PeerRef;
 } // namespace dandelionstand::peer
 
-namespace dandelionstand::peer::wire {
-class AnswerBody;
-class AnswerEnd;
-class AnswerFailed;
-class AnswerHead;
-class CallStart;
-class Envelope;
-} // namespace dandelionstand::peer::wire
-
 namespace dandelionstand::caller {
 
 struct CallerServerSettings
 {
   common::Address listen_;
-  std::uint64_t maxBodyBytes_ = 1024 * 1024;
-  std::uint64_t maxHeaderBytes_ = 16 * 1024;
+  std::uint64_t maxBodyBytes_ = 1024UL * 1024;
+  std::uint64_t maxHeaderBytes_ = 16UL * 1024;
+  std::uint64_t bodyMemoryBytes_ = 32UL * 1024 * 1024; //!< For all request bodies together.
+  common::Incarnation incarnation_;
+  common::FailureDomain failureDomain_;
+  common::Region region_;
   std::uint64_t seed_ = 1; //!< Of the choice of endpoints.
 };
 
-//! Takes HTTP requests from callers, sends them to an endpoint and streams the answers back.
+//! Takes HTTP requests from callers, routes them and streams the answers back.
 class CallerServer : public sigc::trackable
 {
 public:
@@ -66,37 +55,36 @@
   const common::Address& BoundAddress() const { return server_.BoundAddress(); }
   //! Refuses new requests as not run; those in flight go on.
   void StartDrain() { isDraining_ = true; }
-  std::size_t InFlight() const { return calls_.size(); }
+  //! Requests whose answer is not yet written whole.
+  std::size_t InFlight() const { return exchanges_.size(); }
 
 private:
-  struct Call;
+  class Exchange;
 
   void OnRequest(evhttp_request* aRequest);
-  void StartCall(
-    evhttp_request* aRequest,
-    const std::string& aMethod,
-    const config::ConfigState& aConfig,
-    const std::pair<const config::RouteName, config::Versioned<config::Route>>& aRoute);
+  void Dispatch(Exchange& aExchange, CallerRequest aRequest);
+  void StartCall(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute);
+  CallPlan MakePlan(const CallerRequest& aRequest, const config::Route& aRoute) const;
   void OnEnvelope(const peer::PeerRef& aFrom, const peer::wire::Envelope& aEnvelope);
-  void OnHead(const peer::wire::AnswerHead& aHead);
-  void OnBody(const peer::wire::AnswerBody& aBody);
-  void OnEnd(const peer::wire::AnswerEnd& aEnd);
-  void OnFailed(const peer::wire::AnswerFailed& aFailed);
-  void OnTimeout(std::uint64_t aRequestId);
-  static void OnCallerGone(evhttp_request* aRequest, void* aCall);
-  void Refuse(evhttp_request* aRequest, int aStatus, const char* aReason, const char* aRun);
-  Call* Find(std::uint64_t aRequestId);
+  void OnLinkLost(const common::Address& aAddress);
+  ActiveCall* FindCall(common::RequestId aId);
+  void EraseCall(common::RequestId aId);
+  void EndExchange(const Exchange& aExchange);
+  void CountOutcome(const std::string& aOutcome);
 
-  common::EventLoop& loop_;
-  common::Counters& counters_;
-  peer::Transport& transport_;
-  const peer::EndpointDirectory& directory_;
+  CallContext context_;
   ConfigSource config_;
+  CallerServerSettings settings_;
+  ServicePolicies policies_;
   common::HttpServer server_;
-  std::mt19937_64 random_;
-  bool isDraining_ = false;
+  std::unordered_map<common::RequestId, std::unique_ptr<ActiveCall>> calls_;
+  std::map<const Exchange*, std::unique_ptr<Exchange>> exchanges_;
+  //! Ended exchanges that the present turn of the loop may still use.
+  std::vector<std::unique_ptr<Exchange>> ended_;
+  std::unique_ptr<common::Watch> reaper_;
   std::uint64_t lastRequestId_ = 0;
-  std::map<std::uint64_t, std::unique_ptr<Call>> calls_;
+  std::uint64_t bodyBytes_ = 0;
+  bool isDraining_ = false;
 };
 
 } // namespace dandelionstand::caller
--- a/src/dandelionstand/caller/EndpointPicker.h
+++ b/src/dandelionstand/caller/EndpointPicker.h
@@ -3,6 +3,7 @@
 
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
+#include "dandelionstand/peer/EndpointDirectory.h"
 
 #include <cstdint>
 #include <map>
@@ -12,17 +13,7 @@
 
 namespace dandelionstand::caller {
 
-//! One endpoint of a service as membership knows it: a daemon beside a target.
-struct Endpoint
-{
-  common::InstanceId instance_;
-  common::Incarnation incarnation_;
-  common::Address address_;
-  common::FailureDomain failureDomain_;
-  common::Region region_;
-
-  bool operator==(const Endpoint&) const = default;
-};
+using peer::Endpoint;
 
 //! Load of a target side, as it rides on its answers.
 struct ReportedLoad
--- /dev/null
+++ b/src/dandelionstand/caller/ServicePolicies.cpp
@@ -0,0 +1,40 @@
+#include "dandelionstand/caller/ServicePolicies.h"
+
+namespace dandelionstand::caller {
+
+namespace {
+
+//! Membership is looked up at most this often for a service with endpoints.
+constexpr common::Duration kRefreshInterval = std::chrono::milliseconds(20);
+
+} // namespace
+
+ServicePolicies::ServicePolicies(const peer::EndpointDirectory& aDirectory,
+                                 PickerSettings aSettings,
+                                 std::uint64_t aSeed)
+  : directory_(aDirectory)
+  , settings_(std::move(aSettings))
+  , seed_(aSeed)
+{
+}
+
+ServicePolicy& ServicePolicies::For(const common::ServiceName& aService,
+                                    const config::Limits& aLimits,
+                                    common::TimePoint aNow)
+{
+  std::unique_ptr<ServicePolicy>& policy = policies_[aService];
+  if (!policy) {
+    policy.reset(new ServicePolicy{ EndpointPicker(settings_, seed_ + policies_.size()),
+                                    RetryBudget(aLimits.retryBudgetPercent_),
+                                    {} });
+  }
+  if (policy->picker_.Size() == 0 || aNow - policy->refreshedAt_ >= kRefreshInterval) {
+    policy->picker_.SetEndpoints(directory_.EndpointsOf(aService), aNow);
+    policy->picker_.SetSlots(aLimits.slots_);
+    policy->budget_.SetPercent(aLimits.retryBudgetPercent_);
+    policy->refreshedAt_ = aNow;
+  }
+  return *policy;
+}
+
+} // namespace dandelionstand::caller
--- /dev/null
+++ b/src/dandelionstand/caller/ServicePolicies.h
@@ -0,0 +1,46 @@
+#ifndef dandelionstand_caller_ServicePolicies_h
+#define dandelionstand_caller_ServicePolicies_h
+
+#include "dandelionstand/caller/EndpointPicker.h"
+#include "dandelionstand/caller/RetryBudget.h"
+#include "dandelionstand/common/Ids.h"
+#include "dandelionstand/common/Time.h"
+#include "dandelionstand/config/Resources.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace dandelionstand::caller {
+
+//! What a daemon keeps about one service that it calls.
+struct ServicePolicy
+{
+  EndpointPicker picker_;
+  RetryBudget budget_;
+  common::TimePoint refreshedAt_;
+};
+
+//! The policies of all services, brought up to date with membership and limits on use.
+class ServicePolicies
+{
+public:
+  ServicePolicies(const peer::EndpointDirectory& aDirectory,
+                  PickerSettings aSettings,
+                  std::uint64_t aSeed);
+
+  ServicePolicy& For(const common::ServiceName& aService,
+                     const config::Limits& aLimits,
+                     common::TimePoint aNow);
+
+private:
+  const peer::EndpointDirectory& directory_;
+  PickerSettings settings_;
+  std::uint64_t seed_;
+  //! Calls hold references to the policies.
+  std::map<common::ServiceName, std::unique_ptr<ServicePolicy>> policies_;
+};
+
+} // namespace dandelionstand::caller
+
+#endif // dandelionstand_caller_ServicePolicies_h
--- /dev/null
+++ b/src/dandelionstand/caller/WireCalls.h
@@ -0,0 +1,39 @@
+#ifndef dandelionstand_caller_WireCalls_h
+#define dandelionstand_caller_WireCalls_h
+
+#include "dandelionstand/caller/CallTypes.h"
+#include "dandelionstand/caller/CallerRequest.h"
+#include "dandelionstand/config/Resources.h"
+
+namespace dandelionstand::peer::wire {
+class AnswerBody;
+class AnswerEnd;
+class AnswerFailed;
+class AnswerHead;
+class CallStart;
+} // namespace dandelionstand::peer::wire
+
+namespace dandelionstand::caller {
+
+//! The route that a call goes by, as it was when the call began.
+struct CallRoute
+{
+  config::RouteName name_;
+  common::Version version_;
+  config::Route route_;
+};
+
+//! Fills the message that starts an attempt. The request id must be set by the caller.
+void FillCallStart(const CallRoute& aRoute,
+                   const CallerRequest& aRequest,
+                   const SendAttempt& aAttempt,
+                   peer::wire::CallStart& aStart);
+
+AttemptHead ToAttemptHead(const peer::wire::AnswerHead& aHead);
+AttemptBody ToAttemptBody(const peer::wire::AnswerBody& aBody);
+AttemptEnd ToAttemptEnd(const peer::wire::AnswerEnd& aEnd);
+AttemptFailed ToAttemptFailed(const peer::wire::AnswerFailed& aFailed);
+
+} // namespace dandelionstand::caller
+
+#endif // dandelionstand_caller_WireCalls_h
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -14,6 +14,8 @@
 using namespace std::chrono_literals;
 
 constexpr common::Duration kDrainCheckInterval = 20ms;
+//! Time for peers and callers to hear of the leaving before the addresses close.
+constexpr common::Duration kDrainAtLeast = 1s;
 
 platform::HttpLogSettings LogSettingsOf(const Settings& aSettings)
 {
@@ -54,6 +56,10 @@
   return { .listen_ = aSettings.callers_.listen_,
            .maxBodyBytes_ = aSettings.callers_.maxBodyBytes_,
            .maxHeaderBytes_ = aSettings.callers_.maxHeaderBytes_,
+           .bodyMemoryBytes_ = aSettings.callers_.bodyMemoryBytes_,
+           .incarnation_ = aIncarnation,
+           .failureDomain_ = aSettings.failureDomain_,
+           .region_ = aSettings.region_,
            .seed_ = aIncarnation.Get() };
 }
 
@@ -66,7 +72,11 @@
   , transport_(loop_, counters_, TransportSettingsOf(aSettings, incarnation_))
   , directory_(loop_, log_, MemberOf(aSettings, incarnation_))
   , configReader_(loop_, counters_, log_)
-  , forwarder_(loop_, counters_, transport_, incarnation_)
+  , forwarder_(loop_,
+               counters_,
+               transport_,
+               incarnation_,
+               [this] { return configReader_.InForce(); })
   , callerServer_(
       loop_,
       counters_,
@@ -143,6 +153,7 @@
     return;
   }
   isDraining_ = true;
+  drainingSince_ = common::Now();
   common::LogEvent(common::Severity::kInfo, "draining", { { "in_flight", InFlight() } });
   directory_.Leave();
   forwarder_.StartDrain();
@@ -155,7 +166,7 @@
 
 void Daemon::CheckDrained()
 {
-  if (InFlight() == 0) {
+  if (InFlight() == 0 && common::Now() - drainingSince_ >= kDrainAtLeast) {
     Finish(ExitStatus::kOk);
   }
 }
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -63,6 +63,7 @@
   std::unique_ptr<common::Watch> drainCheck_;
   std::unique_ptr<common::Watch> drainLimit_;
   bool isDraining_ = false;
+  common::TimePoint drainingSince_;
   ExitStatus status_ = ExitStatus::kOk;
 };
 
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -1,25 +1,49 @@
 #include "dandelionstand/target/TargetForwarder.h"
 
 #include "dandelionstand/common/Counters.h"
+#include "dandelionstand/common/EventLog.h"
+#include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/common/HttpServer.h"
-#include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/peer/generated/envelope.pb.h"
 #include "dandelionstand/target/ForwardedCall.h"
 
 #include <sigc++/functors/mem_fun.h>
 
+#include <utility>
+
 namespace dandelionstand::target {
 
+namespace {
+
+constexpr common::Duration kTickInterval = std::chrono::milliseconds(20);
+
+template<typename Message>
+AttemptKey KeyOf(const peer::wire::Envelope& aEnvelope, const Message& aMessage)
+{
+  return { common::InstanceId(aEnvelope.sender()),
+           common::Incarnation(aEnvelope.sender_incarnation()),
+           common::RequestId(aMessage.request_id()),
+           aMessage.attempt() };
+}
+
+} // namespace
+
 TargetForwarder::TargetForwarder(common::EventLoop& aLoop,
                                  common::Counters& aCounters,
                                  peer::Transport& aTransport,
-                                 common::Incarnation aIncarnation)
+                                 common::Incarnation aIncarnation,
+                                 ConfigSource aConfig)
   : loop_(aLoop)
   , counters_(aCounters)
   , transport_(aTransport)
   , incarnation_(aIncarnation)
+  , config_(std::move(aConfig))
+  , sender_(aTransport, [this] { return LoadNow(); })
+  , connections_(aLoop)
+  , queue_(SlotSettings{})
 {
   transport_.Received().connect(sigc::mem_fun(*this, &TargetForwarder::OnEnvelope));
+  tick_ = loop_.Every(kTickInterval, [this] { Tick(); });
 }
 
 TargetForwarder::~TargetForwarder() = default;
@@ -29,46 +53,138 @@
 {
   service_ = aService;
   address_ = aAddress;
+  common::HostAndPort target;
+  RefreshLimits();
+  if (!common::ParseAddress(aAddress.Get(), target)) {
+    Apply(queue_.NotReady(common::Now()));
+    return;
+  }
+  connections_.SetTarget(target);
+  Apply(queue_.Ready(common::Now()));
+}
+
+void TargetForwarder::StartDrain()
+{
+  Apply(queue_.Drain(common::Now()));
 }
 
 void TargetForwarder::OnEnvelope(const peer::PeerRef& aFrom, const peer::wire::Envelope& aEnvelope)
 {
   if (aEnvelope.has_call_start()) {
-    OnCallStart(aFrom, aEnvelope.call_start());
+    const peer::wire::CallStart& start = aEnvelope.call_start();
+    OnCallStart(aFrom, KeyOf(aEnvelope, start), start);
+  } else if (aEnvelope.has_call_cancel()) {
+    OnCancel(KeyOf(aEnvelope, aEnvelope.call_cancel()));
+  } else if (aEnvelope.has_call_credit()) {
+    const auto found = calls_.find(KeyOf(aEnvelope, aEnvelope.call_credit()));
+    if (found != calls_.end()) {
+      found->second.call_->AddCredit(aEnvelope.call_credit().bytes());
+    }
   }
 }
 
-void TargetForwarder::OnCallStart(const peer::PeerRef& aFrom, const peer::wire::CallStart& aStart)
+void TargetForwarder::OnCallStart(const peer::PeerRef& aFrom,
+                                  const AttemptKey& aKey,
+                                  const peer::wire::CallStart& aStart)
 {
-  common::HostAndPort target;
   if (aStart.target_incarnation() != incarnation_.Get()) {
-    Refuse(aFrom, aStart, "earlier-incarnation");
-  } else if (isDraining_) {
-    Refuse(aFrom, aStart, "draining");
-  } else if (aStart.service() != service_.Get() || !common::ParseAddress(address_.Get(), target)) {
-    Refuse(aFrom, aStart, "no-target");
-  } else {
-    counters_.Add("target_calls_forwarded_total");
-    auto call = std::make_unique<ForwardedCall>(
-      loop_, transport_, aFrom, aStart, target, [this](const ForwardedCall* aCall) {
-        calls_.erase(aCall);
-      });
-    calls_[call.get()] = std::move(call);
+    Refuse(aFrom, aKey, "wrong-incarnation");
+    return;
+  }
+  if (aStart.service() != service_.Get()) {
+    Refuse(aFrom, aKey, ToText(RefuseReason::kNotReady));
+    return;
+  }
+  if (calls_.contains(aKey)) {
+    counters_.Add("target_calls_repeated_total");
+    return;
+  }
+  const common::TimePoint now = common::Now();
+  const common::TimePoint deadline = now + std::chrono::milliseconds(aStart.time_left_ms());
+  const auto trafficClass = static_cast<config::TrafficClass>(aStart.traffic_class());
+  calls_[aKey] = { deadline,
+                   std::make_unique<ForwardedCall>(
+                     loop_,
+                     sender_,
+                     connections_,
+                     aFrom,
+                     aKey,
+                     aStart,
+                     [this](const AttemptKey& k) { OnFinished(AttemptKey(k)); }) };
+  Apply(queue_.Offer({ aKey, trafficClass, deadline }, now));
+}
+
+void TargetForwarder::OnCancel(const AttemptKey& aKey)
+{
+  const auto found = calls_.find(aKey);
+  if (found == calls_.end()) {
+    return;
   }
+  counters_.Add("target_calls_cancelled_total");
+  OnFinished(aKey);
+}
+
+void TargetForwarder::OnFinished(const AttemptKey& aKey)
+{
+  calls_.erase(aKey);
+  Apply(queue_.Finished(aKey, common::Now()));
+}
+
+void TargetForwarder::Apply(const SlotActions& aActions)
+{
+  for (const SlotAction& action : aActions) {
+    if (const auto* start = std::get_if<StartWork>(&action)) {
+      counters_.Add("target_calls_forwarded_total");
+      Entry& entry = calls_.at(start->key_);
+      entry.call_->Start(entry.deadline_);
+    } else if (const auto* refusal = std::get_if<RefuseWork>(&action)) {
+      const auto found = calls_.find(refusal->key_);
+      Refuse(found->second.call_->From(), refusal->key_, ToText(refusal->reason_));
+      calls_.erase(found);
+    }
+  }
+}
+
+void TargetForwarder::Refuse(const peer::PeerRef& aTo,
+                             const AttemptKey& aKey,
+                             std::string_view aReason)
+{
+  counters_.Add("target_calls_refused_total{reason=\"" + std::string(aReason) + "\"}");
+  sender_.SendFailed(aTo, aKey, aReason, peer::wire::NOT_RUN);
+}
+
+void TargetForwarder::RefreshLimits()
+{
+  const config::ConfigStatePtr config = config_();
+  if (!config) {
+    return;
+  }
+  const auto endpoints = config->endpoints_.find(service_);
+  if (endpoints == config->endpoints_.end()) {
+    return;
+  }
+  const auto limits = config->limits_.find(endpoints->second.value_.limits_);
+  if (limits == config->limits_.end()) {
+    return;
+  }
+  connections_.SetLimit(limits->second.value_.connections_);
+  Apply(queue_.SetLimits(
+    limits->second.value_.slots_, limits->second.value_.queueLength_, common::Now()));
+}
+
+void TargetForwarder::Tick()
+{
+  RefreshLimits();
+  Apply(queue_.Tick(common::Now()));
 }
 
-void TargetForwarder::Refuse(const peer::PeerRef& aFrom,
-                             const peer::wire::CallStart& aStart,
-                             const char* aReason)
+peer::wire::Load TargetForwarder::LoadNow() const
 {
-  counters_.Add("target_calls_refused_total");
-  peer::wire::Envelope envelope;
-  peer::wire::AnswerFailed& failed = *envelope.mutable_answer_failed();
-  failed.set_request_id(aStart.request_id());
-  failed.set_attempt(aStart.attempt());
-  failed.set_reason(aReason);
-  failed.set_run_state(peer::wire::NOT_RUN);
-  transport_.Send(aFrom, envelope);
+  peer::wire::Load load;
+  load.set_running(static_cast<std::uint32_t>(queue_.Running()));
+  load.set_queued(static_cast<std::uint32_t>(queue_.Queued()));
+  load.set_slots(queue_.SlotsNow(common::Now()));
+  return load;
 }
 
 } // namespace dandelionstand::target
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -2,23 +2,25 @@
 #define dandelionstand_target_TargetForwarder_h
 
 #include "dandelionstand/common/Ids.h"
+#include "dandelionstand/config/ConfigState.h"
+#include "dandelionstand/peer/Transport.h"
+#include "dandelionstand/target/AnswerSender.h"
+#include "dandelionstand/target/SlotQueue.h"
+#include "dandelionstand/target/TargetConnections.h"
 
 #include <sigc++/trackable.h>
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 
 namespace dandelionstand::common {
 class Counters;
 class EventLoop;
+class Watch;
 } // namespace dandelionstand::common
 
-namespace dandelionstand::peer {
-class Transport;
-struct PeerRef;
-} // namespace dandelionstand::peer
-
 namespace dandelionstand::peer::wire {
 class CallStart;
 class Envelope;
@@ -28,35 +30,58 @@
 
 class ForwardedCall;
 
-//! The only way into the target beside this daemon: takes calls from links and forwards them.
+//! The only way into the target beside this daemon: takes calls from links, gives them slots and
+//! forwards them. Says "not run" only for calls of which the target has not got a byte.
 class TargetForwarder : public sigc::trackable
 {
 public:
+  //! Reads the configuration in force; may be null.
+  using ConfigSource = std::function<config::ConfigStatePtr()>;
+
   TargetForwarder(common::EventLoop& aLoop,
                   common::Counters& aCounters,
                   peer::Transport& aTransport,
-                  common::Incarnation aIncarnation);
+                  common::Incarnation aIncarnation,
+                  ConfigSource aConfig);
   ~TargetForwarder();
 
   //! Sets or withdraws (empty address) the target.
   void SetTarget(const common::ServiceName& aService, const common::Address& aAddress);
   //! Refuses new calls as not run; those in flight go on.
-  void StartDrain() { isDraining_ = true; }
+  void StartDrain();
   std::size_t InFlight() const { return calls_.size(); }
 
 private:
+  struct Entry
+  {
+    common::TimePoint deadline_;
+    std::unique_ptr<ForwardedCall> call_;
+  };
+
   void OnEnvelope(const peer::PeerRef& aFrom, const peer::wire::Envelope& aEnvelope);
-  void OnCallStart(const peer::PeerRef& aFrom, const peer::wire::CallStart& aStart);
-  void Refuse(const peer::PeerRef& aFrom, const peer::wire::CallStart& aStart, const char* aReason);
+  void OnCallStart(const peer::PeerRef& aFrom,
+                   const AttemptKey& aKey,
+                   const peer::wire::CallStart& aStart);
+  void OnCancel(const AttemptKey& aKey);
+  void OnFinished(const AttemptKey& aKey);
+  void Apply(const SlotActions& aActions);
+  void Refuse(const peer::PeerRef& aTo, const AttemptKey& aKey, std::string_view aReason);
+  void RefreshLimits();
+  void Tick();
+  peer::wire::Load LoadNow() const;
 
   common::EventLoop& loop_;
   common::Counters& counters_;
   peer::Transport& transport_;
   common::Incarnation incarnation_;
+  ConfigSource config_;
+  AnswerSender sender_;
+  TargetConnections connections_;
+  SlotQueue queue_;
   common::ServiceName service_;
   common::Address address_;
-  bool isDraining_ = false;
-  std::map<const ForwardedCall*, std::unique_ptr<ForwardedCall>> calls_;
+  std::map<AttemptKey, Entry> calls_;
+  std::unique_ptr<common::Watch> tick_;
 };
 
 } // namespace dandelionstand::target
