Offer requests that must not run twice to several endpoints until one runs them

Cause: the configuration allows one attempt for such routes, which also kept a refusal that did not run from being tried elsewhere. The route's limit now counts attempts that may run. A time-out at the target side is told as 504, as one at the caller side.

--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -22,6 +22,7 @@
 constexpr int kMarginShare = 10;
 
 constexpr const char* kTimedOut = "timeout";
+constexpr const char* kTargetTimedOut = "target-timeout";
 constexpr const char* kBrokenAnswer = "broken-answer";
 
 //! Refusals that come without load: the endpoint is on its way out or has been replaced.
@@ -315,7 +316,7 @@
   std::uint32_t status = kBadGateway;
   if (runState == RunState::kNotRun) {
     status = kServiceUnavailable;
-  } else if (aFailed.reason_ == kTimedOut) {
+  } else if (aFailed.reason_ == kTimedOut || aFailed.reason_ == kTargetTimedOut) {
     status = kGatewayTimeout;
   }
   aActions.push_back(RefuseCall{ status, aFailed.reason_, runState, aFailed.deep_ });
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -24,6 +24,9 @@
 //! Chains of calls are up to 13 deep; more than this is a loop.
 constexpr std::uint32_t kMaxDepth = 32;
 
+//! Endpoints that a request which must not run twice is offered to, one after the other.
+constexpr std::uint32_t kTriesUntilRun = 3;
+
 constexpr int kAllowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                 EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH;
 
@@ -225,6 +228,10 @@
     now + std::min(aRoute.timeout_, aRequest.timeLeft_.value_or(aRoute.timeout_));
   plan.idleLimit_ = aRoute.timeout_;
   plan.attempts_ = std::max(1U, aRoute.attempts_);
+  if (aRoute.idempotency_ != config::Idempotency::kIdempotent) {
+    // The route's limit is on attempts that may run; refusals that did not run come on top.
+    plan.attempts_ = std::max(plan.attempts_, kTriesUntilRun);
+  }
   plan.mayContinue_ = aRequest.method_ == "GET" && !hasRange;
   if (aRoute.trafficClass_ != config::TrafficClass::kDownload) {
     plan.endDeadline_ = plan.headDeadline_;
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -110,7 +110,7 @@
                      aFrom,
                      aKey,
                      aStart,
-                     [this](const AttemptKey& k) { OnFinished(AttemptKey(k)); }) };
+                     [this](const AttemptKey& aEnded) { OnFinished(AttemptKey(aEnded)); }) };
   Apply(queue_.Offer({ aKey, trafficClass, deadline }, now));
 }
 
