--- a/src/dandelionstand/common/EventLoop.cpp
+++ b/src/dandelionstand/common/EventLoop.cpp
@@ -70,7 +70,7 @@
 
 EventLoop::EventLoop()
 {
-  // A write to a connection that was reset must fail instead of ending the process.
+  // A peer that closes while we write is an ordinary error, not the end of the process.
   std::signal(SIGPIPE, SIG_IGN);
   event_config* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
