Let the target stand-in end only after its answers have left

Cause: on a busy machine one run of "A target that is told to end leaves its work unbroken" failed: the drain check ran between handing the answer to evhttp and its write, and the process ended with the answer in its buffer. An answer now counts as in flight until evhttp reports it sent or its connection closes. Ruled out: one more check interval of patience, which a slow client outlasts.

--- a/standins/HttpServer.cpp
+++ b/standins/HttpServer.cpp
@@ -91,6 +91,39 @@
   return common::Address(std::string(text) + ":" + std::to_string(ntohs(address.sin_port)));
 }
 
+//! Counts one answer until it has left or its connection has closed.
+class UnsentAnswer
+{
+public:
+  static void Track(evhttp_request* aRequest, std::shared_ptr<std::size_t> aCount)
+  {
+    auto* answer = new UnsentAnswer(std::move(aCount));
+    evhttp_request_set_on_complete_cb(aRequest, &UnsentAnswer::OnSent, answer);
+    evhttp_connection* connection = evhttp_request_get_connection(aRequest);
+    evhttp_connection_set_closecb(connection, &UnsentAnswer::OnClosed, answer);
+  }
+
+private:
+  explicit UnsentAnswer(std::shared_ptr<std::size_t> aCount)
+    : count_(std::move(aCount))
+  {
+    ++*count_;
+  }
+  ~UnsentAnswer() { --*count_; }
+
+  static void OnSent(evhttp_request* aRequest, void* aSelf)
+  {
+    evhttp_connection_set_closecb(evhttp_request_get_connection(aRequest), nullptr, nullptr);
+    delete static_cast<UnsentAnswer*>(aSelf);
+  }
+  static void OnClosed(evhttp_connection*, void* aSelf)
+  {
+    delete static_cast<UnsentAnswer*>(aSelf);
+  }
+
+  std::shared_ptr<std::size_t> count_;
+};
+
 } // namespace
 
 //! Notices that the client has closed while no byte is read or written.
@@ -113,9 +146,12 @@
   event* event_;
 };
 
-Responder::Responder(common::EventLoop& aLoop, evhttp_request* aRequest)
+Responder::Responder(common::EventLoop& aLoop,
+                     evhttp_request* aRequest,
+                     std::shared_ptr<std::size_t> aUnsent)
   : loop_(aLoop)
   , request_(aRequest)
+  , unsent_(std::move(aUnsent))
 {
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   evhttp_connection_set_closecb(connection, &Responder::OnConnectionClosed, this);
@@ -137,6 +173,7 @@
   Release();
   AddHeaders(request, aHeaders);
   evbuffer_add(evhttp_request_get_output_buffer(request), aBody.data(), aBody.size());
+  UnsentAnswer::Track(request, unsent_);
   evhttp_send_reply(request, aStatus, nullptr, nullptr);
 }
 
@@ -170,6 +207,7 @@
   }
   evhttp_request* request = request_;
   Release();
+  UnsentAnswer::Track(request, unsent_);
   evhttp_send_reply_end(request);
 }
 
@@ -279,7 +317,7 @@
   request.headers_ = ToMap(evhttp_request_get_input_headers(aRequest));
   request.body_ = TakeBody(aRequest);
   request.clientIp_ = ClientIp(aRequest);
-  request.responder_ = std::make_shared<Responder>(self->loop_, aRequest);
+  request.responder_ = std::make_shared<Responder>(self->loop_, aRequest, self->unsent_);
   self->handler_(request);
 }
 
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -24,7 +24,10 @@
 class Responder
 {
 public:
-  Responder(common::EventLoop& aLoop, evhttp_request* aRequest);
+  //! aUnsent counts the whole answers of the server that have not yet left for the socket.
+  Responder(common::EventLoop& aLoop,
+            evhttp_request* aRequest,
+            std::shared_ptr<std::size_t> aUnsent);
   ~Responder();
   Responder(const Responder&) = delete;
   Responder& operator=(const Responder&) = delete;
@@ -57,6 +60,7 @@
   std::unique_ptr<CloseWatch> closeWatch_;
   std::function<void()> onGone_;
   std::function<void()> onSent_;
+  std::shared_ptr<std::size_t> unsent_;
 };
 
 struct ServerRequest
@@ -91,12 +95,15 @@
   const common::Address& ListeningAddress() const { return address_; }
   //! Takes no new connection from now on.
   void StopAccepting();
+  //! Answers that were handed over whole and have not yet left for the socket.
+  std::size_t UnsentCount() const { return *unsent_; }
 
 private:
   static void OnRequest(evhttp_request* aRequest, void* aSelf);
 
   common::EventLoop& loop_;
   Handler handler_;
+  std::shared_ptr<std::size_t> unsent_ = std::make_shared<std::size_t>(0);
   evhttp* http_;
   evhttp_bound_socket* socket_ = nullptr;
   common::Address address_;
--- a/standins/target/TargetServer.cpp
+++ b/standins/target/TargetServer.cpp
@@ -144,7 +144,7 @@
              { "with_deadline", stats_.withDeadline_ },
              { "last_deadline_ms", stats_.lastDeadlineMs_ },
              { "most_at_once", stats_.mostAtOnce_ },
-             { "in_flight", InFlight() } });
+             { "in_flight", works_.size() } });
 }
 
 void TargetServer::SendHealth(const ServerRequest& aRequest) const
@@ -156,7 +156,7 @@
 
 void TargetServer::SendLoad(const ServerRequest& aRequest) const
 {
-  const std::size_t busy = behaviour_.isLoadMisleading_ ? 0 : InFlight();
+  const std::size_t busy = behaviour_.isLoadMisleading_ ? 0 : works_.size();
   SendJson(*aRequest.responder_, { { "busy", busy }, { "slots", behaviour_.slots_ } });
 }
 
@@ -183,7 +183,7 @@
   if (behaviour_.isShedding_) {
     return "overload";
   }
-  if (behaviour_.slots_ != 0 && InFlight() >= behaviour_.slots_) {
+  if (behaviour_.slots_ != 0 && works_.size() >= behaviour_.slots_) {
     return "slots";
   }
   const auto deadline = DeadlineMs(aRequest);
--- a/standins/target/TargetServer.h
+++ b/standins/target/TargetServer.h
@@ -50,7 +50,8 @@
   ~TargetServer();
 
   const common::Address& ListeningAddress() const { return server_.ListeningAddress(); }
-  std::size_t InFlight() const { return works_.size(); }
+  //! Requests whose answer has not yet left for the socket.
+  std::size_t InFlight() const { return works_.size() + server_.UnsentCount(); }
   //! Called when a control request changes whether the target is ready.
   void OnReadyChanged(std::function<void(bool)> aAction) { onReadyChanged_ = std::move(aAction); }
 
