--- a/src/dandelionstand/peer/Spreading.cpp
+++ b/src/dandelionstand/peer/Spreading.cpp
@@ -114,9 +114,14 @@
   hasJoined_ = aKnown.hasJoined_;
 }
 
-void Spreading::On(const ReplicaUsable& aUsable)
+void Spreading::On(const ReplicaAt& aReplica)
 {
-  isUsable_ = aUsable.isUsable_;
+  isUsable_ = !aReplica.hasGap_;
+  if (aReplica.through_ > position_) {
+    position_ = aReplica.through_;
+    highest_ = std::max(highest_, position_);
+    store_.Clear();
+  }
 }
 
 void Spreading::On(const SpreadingReceived& aReceived)
@@ -209,15 +214,10 @@
 void Spreading::TakeSnapshot(const wire::ConfigSnapshot& aSnapshot)
 {
   const common::Offset through(aSnapshot.through());
-  const bool isOld = isUsable_ ? through <= position_ : through < skippedAt_;
-  if (isOld) {
-    return;
+  if (through > position_ || !isUsable_) {
+    gapSince_.reset();
+    actions_.push_back(ApplySnapshot{ through, aSnapshot.data() });
   }
-  position_ = through;
-  highest_ = std::max(highest_, position_);
-  store_.Clear();
-  gapSince_.reset();
-  actions_.push_back(ApplySnapshot{ through, aSnapshot.data() });
 }
 
 void Spreading::Push(const Records& aRecords,
--- a/src/dandelionstand/peer/Spreading.h
+++ b/src/dandelionstand/peer/Spreading.h
@@ -35,13 +35,14 @@
 {
   platform::ReadResult result_;
 };
-//! The own replica has lost its base (the log lost records) or has it back.
-struct ReplicaUsable
+//! The own replica after it took records or a snapshot.
+struct ReplicaAt
 {
-  bool isUsable_;
+  common::Offset through_; //!< Every record up to this one is part of its state.
+  bool hasGap_;            //!< It lacks records that the log has lost.
 };
 using SpreadingEvent =
-  std::variant<SpreadingTick, SpreadingReceived, MembersKnown, LogRead, ReplicaUsable>;
+  std::variant<SpreadingTick, SpreadingReceived, MembersKnown, LogRead, ReplicaAt>;
 
 //! Actions that the spreading asks its task to carry out.
 struct SendSpreading
@@ -62,7 +63,7 @@
 };
 struct ApplySnapshot
 {
-  common::Offset through_;
+  common::Offset through_; //!< As the sender claims.
   std::string data_;
 };
 //! The log no longer has the records below aFirst_, and no peer did either.
@@ -104,7 +105,7 @@
   void On(const SpreadingReceived& aReceived);
   void On(const MembersKnown& aKnown);
   void On(const LogRead& aRead);
-  void On(const ReplicaUsable& aUsable);
+  void On(const ReplicaAt& aReplica);
 
   // Reading the log (SpreadingReader.cpp).
   void UpdateReader();
@@ -150,7 +151,6 @@
   Members members_;
   bool hasJoined_ = false;
   common::Offset position_;
-  common::Offset skippedAt_; //!< Position that was left behind by the last skip.
   RecordStore store_;
   VersionFloor floor_;
   std::map<common::InstanceId, common::Offset> positions_; //!< Highest heard of each instance.
@@ -160,7 +160,7 @@
   common::Duration readBackoff_;
   common::TimePoint nextRead_;
   std::optional<common::TimePoint> gapSince_;
-  bool isUsable_ = true;
+  bool isUsable_ = true;                        //!< The replica has no gap.
   std::optional<common::TimePoint> tailSeenAt_; //!< When tail_ was the end of the log.
   common::Offset tail_;
   std::optional<common::TimePoint> lastReadAt_;   //!< Last answer of the log to this daemon.
--- a/src/dandelionstand/peer/SpreadingReader.cpp
+++ b/src/dandelionstand/peer/SpreadingReader.cpp
@@ -93,7 +93,6 @@
   }
   const bool isAlone = members_.size() < 2 || settings_.mode_ == SpreadingMode::kDirect;
   if (isAlone || now_ > *gapSince_ + kGapPatience) {
-    skippedAt_ = isUsable_ ? position_ : skippedAt_;
     isUsable_ = false;
     position_ = common::Offset(aResult.first_.Get() - 1);
     store_.Clear();
--- a/tests/peer/SpreadingBus.cpp
+++ b/tests/peer/SpreadingBus.cpp
@@ -223,7 +223,7 @@
   }
   daemon.applied_ = aSnapshot.through_.Get();
   daemon.isUsable_ = true;
-  Handle(aName, peer::ReplicaUsable{ true });
+  Handle(aName, peer::ReplicaAt{ aSnapshot.through_, false });
 }
 
 void SpreadingBus::Send(const std::string& aName,
