--- a/src/dandelionstand/config/Acceptance.cpp
+++ b/src/dandelionstand/config/Acceptance.cpp
@@ -116,9 +116,7 @@
         next->Erase(change.key_, version_);
       }
     }
-    std::erase_if(next->deleted_, [this](const auto& aTombstone) {
-      return version_.Get() - aTombstone.second.Get() > kBaseWindow;
-    });
+    ForgetOldDeletions(*next);
     return next;
   }
 
@@ -141,6 +139,13 @@
 
 } // namespace
 
+void ForgetOldDeletions(ConfigState& aState)
+{
+  std::erase_if(aState.deleted_, [&aState](const auto& aTombstone) {
+    return aState.version_.Get() - aTombstone.second.Get() > kBaseWindow;
+  });
+}
+
 AcceptResult Accept(const ConfigState& aCurrent, common::Offset aOffset, const std::string& aRecord)
 {
   AcceptResult result;
--- a/src/dandelionstand/config/Acceptance.h
+++ b/src/dandelionstand/config/Acceptance.h
@@ -52,6 +52,9 @@
                     common::Offset aOffset,
                     const std::string& aRecord);
 
+//! Drops the tombstones that are more than kBaseWindow offsets below the state's version.
+void ForgetOldDeletions(ConfigState& aState);
+
 } // namespace dandelionstand::config
 
 #endif // dandelionstand_config_Acceptance_h
--- a/src/dandelionstand/config/ResourceJson.cpp
+++ b/src/dandelionstand/config/ResourceJson.cpp
@@ -13,7 +13,7 @@
 using nlohmann::json;
 
 constexpr std::size_t kMaxNameLength = 64;
-constexpr std::size_t kMaxPathLength = 1024;
+constexpr std::size_t kMaxPathLength = 256;
 constexpr std::size_t kMaxResourceBytes = 8'192;
 constexpr Range kSlotsRange{ 1, 10'000 };
 constexpr Range kConnectionsRange{ 1, 10'000 };
@@ -72,8 +72,7 @@
   const bool isPath = path.empty() || (path[0] == '/' && path.size() <= kMaxPathLength &&
                                        std::all_of(path.begin(), path.end(), IsPathLetter));
   if (!isPath) {
-    aReader.AddFinding("path_prefix",
-                       "must start with '/' and hold at most 1024 letters of a path");
+    aReader.AddFinding("path_prefix", "must start with '/' and hold at most 256 letters of a path");
     return "";
   }
   return path;
--- a/src/dandelionstand/config/Validate.cpp
+++ b/src/dandelionstand/config/Validate.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+//! Keeps a state, and so its snapshot, within what one record of the log holds.
+constexpr std::size_t kMaxResources = 4'000;
+
 class Validator
 {
 public:
@@ -29,6 +32,7 @@
       CheckRoute({ ResourceKind::kRoute, name.Get() }, route.value_);
     }
     CheckOverlaps();
+    CheckSize();
   }
 
 private:
@@ -90,6 +94,16 @@
     }
   }
 
+  void CheckSize()
+  {
+    const std::size_t count =
+      state_.limits_.size() + state_.endpoints_.size() + state_.routes_.size();
+    if (count > kMaxResources) {
+      findings_.Add({ placeOf_({ ResourceKind::kLimits, "" }, "").source_, 0, "" },
+                    "holds more than " + std::to_string(kMaxResources) + " resources");
+    }
+  }
+
   const ConfigState& state_;
   const PlaceOf& placeOf_;
   common::Findings& findings_;
--- a/src/dandelionstand/config/WireResource.h
+++ b/src/dandelionstand/config/WireResource.h
@@ -18,6 +18,14 @@
                                        const std::string& aSource,
                                        common::Findings& aFindings);
 
+void ToWire(const Resource& aResource, wire::Resource& aMessage);
+void ToWire(const ResourceKey& aKey, common::Version aVersion, wire::Tombstone& aMessage);
+
+//! Reads a resource; empty with findings if it is not valid.
+std::optional<Resource> ResourceFromWire(const wire::Resource& aMessage,
+                                         const std::string& aSource,
+                                         common::Findings& aFindings);
+
 } // namespace dandelionstand::config
 
 #endif // dandelionstand_config_WireResource_h
--- a/tests/config/DocumentTests.cpp
+++ b/tests/config/DocumentTests.cpp
@@ -41,21 +41,20 @@
 })";
   Findings findings;
   ParseDocument(text, "a.json", findings);
-  CHECK(
-    findings.ToString() ==
-    "a.json:2: limits.shop.slots: must be a whole number from 1 to 10000\n"
-    "a.json:2: limits.shop.speed: unknown key\n"
-    "a.json:3: endpoints.a.b: a name has 1 to 64 letters, digits, '-' and '_'\n"
-    "a.json:5: routes.order.path_prefix: must start with '/' and hold at most 1024 letters of a "
-    "path\n"
-    "a.json:5: routes.order.methods: 'FLY' is not a method that a route takes\n"
-    "a.json:10: extra: unknown key\n"
-    "a.json:2: limits.wide.connections: must be at least slots, or slots stay empty\n"
-    "a.json:3: endpoints.shop.limits: no limits named 'none'\n"
-    "a.json:8: routes.copy.methods: must be GET or HEAD where class is download\n"
-    "a.json:7: routes.once.attempts: must be 1 where idempotency is once\n"
-    "a.json:5: routes.order.endpoints: no endpoints named 'away'\n"
-    "a.json:6: routes.once.path_prefix: route 'copy' has it already for POST\n");
+  CHECK(findings.ToString() ==
+        "a.json:2: limits.shop.slots: must be a whole number from 1 to 10000\n"
+        "a.json:2: limits.shop.speed: unknown key\n"
+        "a.json:3: endpoints.a.b: a name has 1 to 64 letters, digits, '-' and '_'\n"
+        "a.json:5: routes.order.path_prefix: must start with '/' and hold at most 256 letters of a "
+        "path\n"
+        "a.json:5: routes.order.methods: 'FLY' is not a method that a route takes\n"
+        "a.json:10: extra: unknown key\n"
+        "a.json:2: limits.wide.connections: must be at least slots, or slots stay empty\n"
+        "a.json:3: endpoints.shop.limits: no limits named 'none'\n"
+        "a.json:8: routes.copy.methods: must be GET or HEAD where class is download\n"
+        "a.json:7: routes.once.attempts: must be 1 where idempotency is once\n"
+        "a.json:5: routes.order.endpoints: no endpoints named 'away'\n"
+        "a.json:6: routes.once.path_prefix: route 'copy' has it already for POST\n");
 }
 
 TEST_CASE("Text that is no object is one finding", "[config][document]")
--- /dev/null
+++ b/tests/config/StateTests.cpp
@@ -0,0 +1,117 @@
+#include "dandelionstand/config/Compression.h"
+#include "dandelionstand/config/Delta.h"
+#include "dandelionstand/config/Snapshot.h"
+#include "dandelionstand/config/StreamRecord.h"
+
+#include "ConfigFixtures.h"
+#include "LogScript.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand::common;
+using namespace dandelionstand::config;
+using namespace dandelionstand::tests;
+
+TEST_CASE("The hash of a state changes with each of its parts", "[config][hash]")
+{
+  const ConfigStatePtr base = Publish({}, 1, ShopRecord());
+  const StateHash hash = HashOf(*base);
+  CHECK(HashOf(ConfigState(*base)) == hash);
+  ConfigState other = *base;
+  other.version_ = Version(2);
+  CHECK(HashOf(other) != hash);
+  other = *base;
+  other.limits_.at(LimitsName("shop")).value_.slots_ += 1;
+  CHECK(HashOf(other) != hash);
+  other = *base;
+  other.limits_.at(LimitsName("shop")).version_ = Version(9);
+  CHECK(HashOf(other) != hash);
+  other = *base;
+  other.deleted_[{ ResourceKind::kLimits, "x" }] = Version(1);
+  CHECK(HashOf(other) != hash);
+}
+
+TEST_CASE("A snapshot brings back state, reach and hash", "[config][snapshot]")
+{
+  const LogScript log = MakeLog(7, 60);
+  const ConfigState& state = *log.states_.back();
+  const std::string record = EncodeSnapshot(state, Offset(60));
+  Findings findings;
+  const auto snapshot = DecodeSnapshotRecord(record, "peer", findings);
+  REQUIRE(findings.ToString() == "");
+  CHECK(*snapshot->state_ == state);
+  CHECK(snapshot->through_ == Offset(60));
+  CHECK(snapshot->hash_ == HashOf(state));
+}
+
+TEST_CASE("A snapshot with a dangling reference or a wrong hash is refused", "[config][snapshot]")
+{
+  ConfigState open = *Publish({}, 1, ShopRecord());
+  open.limits_.clear();
+  Findings findings;
+  CHECK_FALSE(DecodeSnapshotRecord(EncodeSnapshot(open, Offset(1)), "peer", findings));
+  CHECK(findings.ToString() == "peer: endpoints.shop.limits: no limits named 'shop'\n");
+
+  const std::string good = EncodeSnapshot(*Publish({}, 1, ShopRecord()), Offset(1));
+  std::string body = DecodeStreamRecord(good, "", findings)->body_;
+  for (char& letter : body) {
+    letter ^= 1;
+    Findings ignored;
+    const auto decoded = DecodeSnapshot(body, "", ignored);
+    CHECK((!decoded || HashOf(*decoded->state_) == decoded->hash_));
+    letter ^= 1;
+  }
+}
+
+TEST_CASE("A delta holds only the last value of each resource", "[config][delta]")
+{
+  const ConfigStatePtr base = Publish({}, 1, ShopRecord());
+  ConfigStatePtr state = base;
+  for (std::uint32_t slots = 5; slots < 15; ++slots) {
+    state = Publish(*state, state->version_.Get() + 1, SlotsRecord(*state, slots));
+  }
+  const auto delta = DeltaSince(*state, Offset(11), base->version_);
+  REQUIRE(delta);
+  CHECK(delta->changed_.size() == 1);
+  CHECK(*ApplyDelta(*base, *delta) == *state);
+  CHECK_FALSE(DeltaSince(*state, Offset(11), state->version_));
+}
+
+TEST_CASE("A delta leads from any version of a log to any later one", "[config][delta][property]")
+{
+  const LogScript log = MakeLog(11, 80);
+  bool hasDeletions = false;
+  for (std::size_t to = 0; to < log.states_.size(); ++to) {
+    for (std::size_t from = 0; from < to; ++from) {
+      const auto delta = DeltaSince(*log.states_[to], Offset(to + 1), log.states_[from]->version_);
+      if (delta) {
+        hasDeletions = hasDeletions || !delta->deleted_.empty();
+        const ConfigStatePtr next = ApplyDelta(*log.states_[from], *delta);
+        REQUIRE(next != nullptr);
+        REQUIRE(*next == *log.states_[to]);
+      }
+    }
+  }
+  CHECK(hasDeletions);
+}
+
+TEST_CASE("A delta that starts elsewhere or leads to another hash is refused", "[config][delta]")
+{
+  const ConfigStatePtr base = Publish({}, 1, ShopRecord());
+  const ConfigStatePtr next = Publish(*base, 2, SlotsRecord(*base, 5));
+  Delta delta = *DeltaSince(*next, Offset(2), Version(1));
+  CHECK(ApplyDelta(*next, delta) == nullptr);
+  delta.changed_.clear();
+  CHECK(ApplyDelta(*base, delta) == nullptr);
+}
+
+TEST_CASE("A packed text that claims too much memory is refused", "[config][compression]")
+{
+  const std::string zeros(kMaxUnpackedBytes + 1, '\0');
+  const std::string packed = Pack(zeros);
+  REQUIRE(packed.size() < 10'000);
+  CHECK_FALSE(Unpack(packed));
+  CHECK(Unpack(Pack("short")) == "short");
+  CHECK_FALSE(Unpack(""));
+  CHECK_FALSE(Unpack("zzz"));
+}
