Run membership and spreading in the daemon

Cause: the thin path read the log in each daemon and took members from it. The last messages get 30 ms to leave before the process ends. Ruled out: reading on a lost connection until its time-out (7 s): a read that is overdue is repeated on a new connection.

--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -1,7 +1,6 @@
 #include "dandelionstand/daemon/Daemon.h"
 
 #include "dandelionstand/common/EventLog.h"
-#include "dandelionstand/peer/generated/membership.pb.h"
 
 #include <sigc++/functors/mem_fun.h>
 
@@ -14,6 +13,7 @@
 using namespace std::chrono_literals;
 
 constexpr common::Duration kDrainCheckInterval = 20ms;
+constexpr common::Duration kFlushTime = 30ms;
 
 platform::HttpLogSettings LogSettingsOf(const Settings& aSettings)
 {
@@ -37,17 +37,24 @@
            .idleClose_ = aSettings.peers_.idleClose_ };
 }
 
-peer::wire::Member MemberOf(const Settings& aSettings, common::Incarnation aIncarnation)
+peer::Member MemberOf(const Settings& aSettings, common::Incarnation aIncarnation)
 {
-  peer::wire::Member member;
-  member.set_instance(aSettings.instance_.Get());
-  member.set_incarnation(aIncarnation.Get());
-  member.set_address(aSettings.peers_.advertise_.Get());
-  member.set_failure_domain(aSettings.failureDomain_.Get());
-  member.set_region(aSettings.region_.Get());
+  peer::Member member;
+  member.instance_ = aSettings.instance_;
+  member.incarnation_ = aIncarnation;
+  member.address_ = aSettings.peers_.advertise_;
+  member.failureDomain_ = aSettings.failureDomain_;
+  member.region_ = aSettings.region_;
   return member;
 }
 
+peer::MembershipSettings MembershipSettingsOf(const Settings& aSettings)
+{
+  peer::MembershipSettings membership;
+  membership.seeds_ = aSettings.peers_.seeds_;
+  return membership;
+}
+
 caller::CallerServerSettings CallerSettingsOf(const Settings& aSettings,
                                               common::Incarnation aIncarnation)
 {
@@ -64,15 +71,27 @@
   , incarnation_(common::NewIncarnationNumber())
   , log_(loop_, LogSettingsOf(aSettings), counters_)
   , transport_(loop_, counters_, TransportSettingsOf(aSettings, incarnation_))
-  , directory_(loop_, log_, MemberOf(aSettings, incarnation_))
-  , configReader_(loop_, counters_, log_)
+  , control_(counters_, transport_, MemberOf(aSettings, incarnation_))
+  , membership_(loop_,
+                control_,
+                transport_,
+                log_,
+                MemberOf(aSettings, incarnation_),
+                MembershipSettingsOf(aSettings))
+  , spreading_(loop_,
+               counters_,
+               control_,
+               transport_,
+               log_,
+               MemberOf(aSettings, incarnation_),
+               peer::MakeSpreadingSettings(aSettings.profile_, aSettings.spreading_))
   , forwarder_(loop_, counters_, transport_, incarnation_)
   , callerServer_(
       loop_,
       counters_,
       transport_,
-      directory_,
-      [this] { return configReader_.InForce(); },
+      membership_,
+      [this] { return spreading_.InForce(); },
       CallerSettingsOf(aSettings, incarnation_))
   , admin_(loop_, counters_, aSettings.adminListen_)
 {
@@ -86,6 +105,11 @@
 
 void Daemon::SetUpAdmin()
 {
+  membership_.Changed().connect(sigc::mem_fun(*this, &Daemon::OnMembersChanged));
+  spreading_.VersionChanged().connect(
+    sigc::mem_fun(membership_, &peer::MembershipTask::SetConfigVersion));
+  admin_.SetStatus([this] { return Status(); });
+  admin_.AddDumpSection("members", [this] { return DumpMembers(); });
   admin_.TargetAnnounced().connect(sigc::mem_fun(*this, &Daemon::OnTargetAnnounced));
   admin_.TargetLeaving().connect(sigc::mem_fun(*this, &Daemon::OnTargetLeaving));
   admin_.AddDumpSection("daemon", [this] {
@@ -97,13 +121,61 @@
                            { "in_flight", InFlight() } };
   });
   admin_.AddDumpSection("config", [this] {
-    const config::ConfigStatePtr state = configReader_.InForce();
+    const config::ConfigStatePtr state = spreading_.InForce();
     return nlohmann::json{ { "version", state ? state->version_.Get() : 0 },
                            { "routes", state ? state->routes_.size() : 0 } };
   });
   admin_.AddDumpSection("links", [this] { return DumpLinks(); });
 }
 
+void Daemon::OnMembersChanged()
+{
+  const peer::Members members = membership_.State().All();
+  control_.SetMembers(members);
+  spreading_.SetMembers(members, membership_.State().HasJoined());
+}
+
+nlohmann::json Daemon::DumpMembers() const
+{
+  nlohmann::json members = nlohmann::json::array();
+  for (const peer::Member& member : membership_.State().All()) {
+    members.push_back({ { "instance", member.instance_.Get() },
+                        { "incarnation", member.incarnation_.Get() },
+                        { "address", member.address_.Get() },
+                        { "failure_domain", member.failureDomain_.Get() },
+                        { "region", member.region_.Get() },
+                        { "state", peer::ToText(member.status_) },
+                        { "service", member.service_.Get() },
+                        { "config_version", member.configVersion_.Get() } });
+  }
+  return members;
+}
+
+nlohmann::json Daemon::Status()
+{
+  nlohmann::json domains = nlohmann::json::object();
+  for (const peer::DomainVersions& domain : spreading_.Versions()) {
+    nlohmann::json inForce = nlohmann::json::object();
+    for (const auto& [version, members] : domain.inForce_) {
+      inForce[std::to_string(version.Get())] = members;
+    }
+    nlohmann::json lagging = nlohmann::json::array();
+    for (const common::InstanceId& instance : domain.lagging_) {
+      lagging.push_back(instance.Get());
+    }
+    domains[domain.failureDomain_.Get()] = { { "members", domain.members_ },
+                                             { "in_force", std::move(inForce) },
+                                             { "lagging", std::move(lagging) } };
+  }
+  const config::ConfigStatePtr state = spreading_.InForce();
+  const peer::VersionFloor::Decision decision = spreading_.MayServe();
+  return { { "version", state ? state->version_.Get() : 0 },
+           { "serves", decision.mayServe_ },
+           { "reason", peer::ToText(decision.reason_) },
+           { "reads_log", spreading_.State().IsReader() },
+           { "failure_domains", std::move(domains) } };
+}
+
 nlohmann::json Daemon::DumpLinks() const
 {
   nlohmann::json links = nlohmann::json::array();
@@ -140,13 +212,13 @@
   }
   const bool isReady = !aAddress.Get().empty();
   forwarder_.SetTarget(aService, aAddress);
-  directory_.Announce(isReady ? aService : common::ServiceName());
+  membership_.Announce(isReady ? aService : common::ServiceName());
 }
 
 void Daemon::OnTargetLeaving()
 {
   forwarder_.SetTarget(common::ServiceName(), common::Address());
-  directory_.Announce(common::ServiceName());
+  membership_.Leave();
 }
 
 void Daemon::OnTerminate()
@@ -157,7 +229,7 @@
   }
   isDraining_ = true;
   common::LogEvent(common::Severity::kInfo, "draining", { { "in_flight", InFlight() } });
-  directory_.Leave();
+  membership_.Leave();
   forwarder_.StartDrain();
   callerServer_.StartDrain();
   drainCheck_ = loop_.Every(kDrainCheckInterval, [this] { CheckDrained(); });
@@ -180,7 +252,11 @@
   common::LogEvent(isCut ? common::Severity::kError : common::Severity::kInfo,
                    "stopped",
                    { { "cut", isCut ? InFlight() : 0 } });
-  loop_.Stop();
+  drainCheck_.reset();
+  drainLimit_.reset();
+  membership_.Stop();
+  // What was sent last must leave the process.
+  flush_ = loop_.After(kFlushTime, [this] { loop_.Stop(); });
 }
 
 } // namespace dandelionstand::daemon
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -5,9 +5,10 @@
 #include "dandelionstand/common/Counters.h"
 #include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/daemon/AdminServer.h"
-#include "dandelionstand/daemon/ConfigReader.h"
 #include "dandelionstand/daemon/Settings.h"
-#include "dandelionstand/peer/LogDirectory.h"
+#include "dandelionstand/peer/ControlSender.h"
+#include "dandelionstand/peer/MembershipTask.h"
+#include "dandelionstand/peer/SpreadingTask.h"
 #include "dandelionstand/peer/ZmqTransport.h"
 #include "dandelionstand/platform/HttpLog.h"
 #include "dandelionstand/target/TargetForwarder.h"
@@ -46,6 +47,9 @@
   void Finish(ExitStatus aStatus);
   void SetUpAdmin();
   nlohmann::json DumpLinks() const;
+  void OnMembersChanged();
+  nlohmann::json DumpMembers() const;
+  nlohmann::json Status();
   std::size_t InFlight() const;
 
   Settings settings_;
@@ -54,8 +58,9 @@
   common::Counters counters_;
   platform::HttpLog log_;
   peer::ZmqTransport transport_;
-  peer::LogDirectory directory_;
-  ConfigReader configReader_;
+  peer::ControlSender control_;
+  peer::MembershipTask membership_;
+  peer::SpreadingTask spreading_;
   target::TargetForwarder forwarder_;
   caller::CallerServer callerServer_;
   AdminServer admin_;
@@ -63,6 +68,7 @@
   std::unique_ptr<common::Watch> interrupt_;
   std::unique_ptr<common::Watch> drainCheck_;
   std::unique_ptr<common::Watch> drainLimit_;
+  std::unique_ptr<common::Watch> flush_;
   bool isDraining_ = false;
   ExitStatus status_ = ExitStatus::kOk;
 };
--- /dev/null
+++ b/src/dandelionstand/peer/MembershipTask.cpp
@@ -0,0 +1,159 @@
+#include "dandelionstand/peer/MembershipTask.h"
+
+#include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/peer/ControlSender.h"
+#include "dandelionstand/peer/Transport.h"
+#include "dandelionstand/peer/generated/envelope.pb.h"
+#include "dandelionstand/platform/Log.h"
+
+#include <sigc++/functors/mem_fun.h>
+
+#include <utility>
+
+namespace dandelionstand::peer {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const platform::StreamName kMembersStream("members");
+constexpr common::Duration kTick = 50ms;
+
+} // namespace
+
+MembershipTask::MembershipTask(common::EventLoop& aLoop,
+                               ControlSender& aSender,
+                               Transport& aTransport,
+                               platform::Log& aLog,
+                               const Member& aSelf,
+                               MembershipSettings aSettings)
+  : loop_(aLoop)
+  , sender_(aSender)
+  , log_(aLog)
+  , membership_(aSelf,
+                std::move(aSettings),
+                common::Now(),
+                std::mt19937_64(aSelf.incarnation_.Get()))
+{
+  aTransport.Received().connect(sigc::mem_fun(*this, &MembershipTask::OnReceived));
+  tick_ = loop_.Every(kTick, [this] { Handle(MembershipTick{}); });
+}
+
+MembershipTask::~MembershipTask() = default;
+
+std::vector<Endpoint> MembershipTask::EndpointsOf(const common::ServiceName& aService) const
+{
+  std::vector<Endpoint> endpoints;
+  for (const Member& member : membership_.All()) {
+    const bool takesWork =
+      member.status_ == MemberStatus::kAlive || member.status_ == MemberStatus::kSuspect;
+    if (takesWork && member.service_ == aService && !aService.Get().empty()) {
+      endpoints.push_back({ member.instance_,
+                            member.incarnation_,
+                            member.address_,
+                            member.failureDomain_,
+                            member.region_ });
+    }
+  }
+  return endpoints;
+}
+
+void MembershipTask::Announce(const common::ServiceName& aService)
+{
+  Handle(TargetAnnounced{ aService });
+}
+
+void MembershipTask::Leave()
+{
+  Handle(TargetLeaving{});
+}
+
+void MembershipTask::Stop()
+{
+  Handle(DaemonStopping{});
+  tick_.reset();
+}
+
+void MembershipTask::SetConfigVersion(common::Version aVersion)
+{
+  Handle(VersionInForce{ aVersion });
+}
+
+void MembershipTask::Handle(const MembershipEvent& aEvent)
+{
+  for (const MembershipAction& action : membership_.Handle(aEvent, common::Now())) {
+    Perform(action);
+  }
+}
+
+void MembershipTask::Perform(const MembershipAction& aAction)
+{
+  if (const auto* send = std::get_if<SendUpdate>(&aAction)) {
+    wire::Envelope envelope;
+    *envelope.mutable_membership_update() = send->update_;
+    sender_.Send(send->to_, ControlKind::kMembership, envelope);
+  } else if (const auto* append = std::get_if<AppendJoinRecord>(&aAction)) {
+    Append(append->self_);
+  } else if (std::holds_alternative<ReadJoinRecords>(aAction)) {
+    ReadJoins();
+  } else if (std::holds_alternative<MembersChanged>(aAction)) {
+    changed_.emit();
+  }
+}
+
+void MembershipTask::OnReceived(const PeerRef& aFrom, const wire::Envelope& aEnvelope)
+{
+  if (!aEnvelope.has_membership_update()) {
+    return;
+  }
+  const common::Address sender(aEnvelope.sender_address());
+  sender_.OnReceived(sender, aFrom, ControlKind::kMembership, aEnvelope);
+  Handle(MembershipMessage{
+    common::InstanceId(aEnvelope.sender()), sender, aEnvelope.membership_update() });
+  sender_.EndAnswer();
+}
+
+void MembershipTask::ReadJoins()
+{
+  if (isReadingJoins_) {
+    return;
+  }
+  isReadingJoins_ = true;
+  log_.Read(kMembersStream,
+            nextJoin_,
+            common::Duration(0),
+            [this](const platform::ReadResult& aResult) { OnJoinsRead(aResult); });
+}
+
+void MembershipTask::OnJoinsRead(const platform::ReadResult& aResult)
+{
+  isReadingJoins_ = false;
+  if (aResult.status_ == platform::LogStatus::kGap) {
+    nextJoin_ = aResult.first_;
+    ReadJoins();
+    return;
+  }
+  std::map<common::InstanceId, Member> latest;
+  for (const platform::Record& record : aResult.records_) {
+    wire::JoinRecord join;
+    if (join.ParseFromString(record.data_)) {
+      const Member member = ParseMember(join.member());
+      latest[member.instance_] = member;
+    }
+    nextJoin_ = common::Offset(record.offset_.Get() + 1);
+  }
+  JoinRecordsRead read;
+  for (const auto& [instance, member] : latest) {
+    read.members_.push_back(member);
+  }
+  Handle(read);
+}
+
+void MembershipTask::Append(const Member& aSelf)
+{
+  wire::JoinRecord record;
+  WriteMember(aSelf, *record.mutable_member());
+  log_.Append(kMembersStream, record.SerializeAsString(), [](const platform::AppendResult&) {});
+}
+
+} // namespace dandelionstand::peer
--- a/src/dandelionstand/peer/Spreading.h
+++ b/src/dandelionstand/peer/Spreading.h
@@ -33,6 +33,7 @@
 };
 struct LogRead
 {
+  std::uint64_t sequence_; //!< Of the ReadLog that it answers.
   platform::ReadResult result_;
 };
 //! The own replica after it took records or a snapshot.
@@ -73,6 +74,7 @@
 };
 struct ReadLog
 {
+  std::uint64_t sequence_;
   common::Offset from_;
   common::Duration wait_;
 };
@@ -157,6 +159,8 @@
 
   bool isReader_ = false;
   bool isReading_ = false;
+  std::uint64_t readSequence_ = 0;
+  common::TimePoint readOverdue_; //!< When the read under way counts as lost.
   common::Duration readBackoff_;
   common::TimePoint nextRead_;
   std::optional<common::TimePoint> gapSince_;
--- a/src/dandelionstand/peer/SpreadingReader.cpp
+++ b/src/dandelionstand/peer/SpreadingReader.cpp
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr common::Duration kJoinPatience = 1'500ms;
+constexpr common::Duration kLostRead = 700ms;
 constexpr common::Duration kFirstBackoff = 100ms;
 //! A gap is given this time to be filled by a peer.
 constexpr common::Duration kGapPatience = 1'500ms;
@@ -49,18 +50,23 @@
 
 void Spreading::ReadIfDue()
 {
-  if (!isReader_ || isReading_ || now_ < nextRead_) {
+  // A connection may have gone silent for good while new ones work.
+  const bool isLost = isReading_ && now_ > readOverdue_;
+  if (!isReader_ || (isReading_ && !isLost) || now_ < nextRead_) {
     return;
   }
-  isReading_ = true;
   // The first read must not wait: it tells where the tail is.
   const common::Duration wait = IsFollowingLog() ? settings_.logWait_ : common::Duration(0);
-  actions_.push_back(ReadLog{ common::Offset(position_.Get() + 1), wait });
+  isReading_ = true;
+  readOverdue_ = now_ + wait + kLostRead;
+  actions_.push_back(ReadLog{ ++readSequence_, common::Offset(position_.Get() + 1), wait });
 }
 
 void Spreading::On(const LogRead& aRead)
 {
-  isReading_ = false;
+  if (aRead.sequence_ == readSequence_) {
+    isReading_ = false;
+  }
   const platform::ReadResult& result = aRead.result_;
   if (result.status_ == platform::LogStatus::kGap) {
     OnGap(result);
--- a/tests/peer/SpreadingBus.cpp
+++ b/tests/peer/SpreadingBus.cpp
@@ -195,7 +195,8 @@
       daemon.isUsable_ = false;
     } else if (const auto* read = std::get_if<peer::ReadLog>(&action)) {
       ++logReads_;
-      daemon.read_ = std::make_unique<PendingRead>(PendingRead{ read->from_, now_ + read->wait_ });
+      daemon.read_ = std::make_unique<PendingRead>(
+        PendingRead{ read->sequence_, read->from_, now_ + read->wait_ });
     }
   }
 }
@@ -259,8 +260,9 @@
         continue;
       }
     }
+    const std::uint64_t sequence = daemon.read_->sequence_;
     daemon.read_.reset();
-    Handle(name, peer::LogRead{ std::move(result) });
+    Handle(name, peer::LogRead{ sequence, std::move(result) });
   }
 }
 
--- a/tests/peer/SpreadingBus.h
+++ b/tests/peer/SpreadingBus.h
@@ -69,6 +69,7 @@
 private:
   struct PendingRead
   {
+    std::uint64_t sequence_;
     common::Offset from_;
     common::TimePoint until_;
   };
