--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "dandelionstand/daemon/Daemon.h"
 
 #include "dandelionstand/common/EventLog.h"
+#include "dandelionstand/config/Document.h"
 
 #include <sigc++/functors/mem_fun.h>
 
@@ -14,6 +15,8 @@
 
 constexpr common::Duration kDrainCheckInterval = 20ms;
 constexpr common::Duration kFlushTime = 30ms;
+//! Time for peers and callers to hear of the leaving before the addresses close.
+constexpr common::Duration kDrainAtLeast = 1s;
 
 platform::HttpLogSettings LogSettingsOf(const Settings& aSettings)
 {
@@ -61,6 +64,10 @@
   return { .listen_ = aSettings.callers_.listen_,
            .maxBodyBytes_ = aSettings.callers_.maxBodyBytes_,
            .maxHeaderBytes_ = aSettings.callers_.maxHeaderBytes_,
+           .bodyMemoryBytes_ = aSettings.callers_.bodyMemoryBytes_,
+           .incarnation_ = aIncarnation,
+           .failureDomain_ = aSettings.failureDomain_,
+           .region_ = aSettings.region_,
            .seed_ = aIncarnation.Get() };
 }
 
@@ -85,7 +92,7 @@
                log_,
                MemberOf(aSettings, incarnation_),
                peer::MakeSpreadingSettings(aSettings.profile_, aSettings.spreading_))
-  , forwarder_(loop_, counters_, transport_, incarnation_)
+  , forwarder_(loop_, counters_, transport_, incarnation_, [this] { return spreading_.InForce(); })
   , callerServer_(
       loop_,
       counters_,
@@ -98,7 +105,6 @@
   SetUpAdmin();
   terminate_ = loop_.OnSignal(SIGTERM, [this] { OnTerminate(); });
   interrupt_ = loop_.OnSignal(SIGINT, [this] { OnTerminate(); });
-  std::signal(SIGPIPE, SIG_IGN);
 }
 
 Daemon::~Daemon() = default;
@@ -122,8 +128,12 @@
   });
   admin_.AddDumpSection("config", [this] {
     const config::ConfigStatePtr state = spreading_.InForce();
-    return nlohmann::json{ { "version", state ? state->version_.Get() : 0 },
-                           { "routes", state ? state->routes_.size() : 0 } };
+    nlohmann::json dump{ { "version", state ? state->version_.Get() : 0 },
+                         { "routes", state ? state->routes_.size() : 0 } };
+    if (state) {
+      dump["document"] = nlohmann::json::parse(config::WriteDocument(*state));
+    }
+    return dump;
   });
   admin_.AddDumpSection("links", [this] { return DumpLinks(); });
 }
@@ -228,6 +238,7 @@
     return;
   }
   isDraining_ = true;
+  drainingSince_ = common::Now();
   common::LogEvent(common::Severity::kInfo, "draining", { { "in_flight", InFlight() } });
   membership_.Leave();
   forwarder_.StartDrain();
@@ -240,7 +251,7 @@
 
 void Daemon::CheckDrained()
 {
-  if (InFlight() == 0) {
+  if (InFlight() == 0 && common::Now() - drainingSince_ >= kDrainAtLeast) {
     Finish(ExitStatus::kOk);
   }
 }
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -70,6 +70,7 @@
   std::unique_ptr<common::Watch> drainLimit_;
   std::unique_ptr<common::Watch> flush_;
   bool isDraining_ = false;
+  common::TimePoint drainingSince_;
   ExitStatus status_ = ExitStatus::kOk;
 };
 
