Claim keyed orders in the log before they run

Cause: a repeated key may reach any daemon, also after the first one died, and nothing kept it from running again.

Claims (pure) decides one shard: the first record of a key wins; won only after the stream was read up to the own record and the records of the whole window are known; a batch whose append answer was lost is settled by reading, and counts once if it stands in the stream twice; not-run ends free the key by a release record. KeyedOrders runs it, keeps the answers for the window, and asks the holder for a key that another daemon claimed. Ruled out: settling a lost answer by a blind second append under a new id (two claims of one request), and a log-away state that only an idle read could clear (it refused orders after the log was back; the tests showed it). Also ruled out by the random test: a batch repeated after its release took the key again for nobody; repeated batches are now known by their numbers.

--- a/src/dandelionstand/caller/ActiveCall.h
+++ b/src/dandelionstand/caller/ActiveCall.h
@@ -1,6 +1,7 @@
 #ifndef dandelionstand_caller_ActiveCall_h
 #define dandelionstand_caller_ActiveCall_h
 
+#include "dandelionstand/caller/AnswerSink.h"
 #include "dandelionstand/caller/CallMachine.h"
 #include "dandelionstand/caller/CallerRequest.h"
 #include "dandelionstand/caller/WireCalls.h"
@@ -26,19 +27,6 @@
 
 struct ServicePolicy;
 
-//! Receives what a call produces for its caller.
-class AnswerSink
-{
-public:
-  virtual ~AnswerSink();
-
-  virtual void SendHead(std::uint32_t aStatus, const Headers& aHeaders) = 0;
-  virtual void SendBody(const std::string& aData) = 0;
-  virtual void Finish() = 0;
-  virtual void Refuse(const Refusal& aRefusal) = 0;
-  virtual void Abort(const std::string& aReason) = 0;
-};
-
 //! What every call of a daemon uses.
 struct CallContext
 {
--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -51,6 +51,10 @@
   CallActions actions;
   budget_.AddCall(aNow);
   lastProgress_ = aNow;
+  if (aNow >= CallDeadline()) {
+    GiveUp({ kTimedOut, RunState::kNotRun }, actions);
+    return actions;
+  }
   StartAttempt(aNow, actions);
   return actions;
 }
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -67,6 +67,15 @@
   return settings;
 }
 
+ClaimSettings ClaimSettingsOf(const CallerServerSettings& aSettings)
+{
+  ClaimSettings settings;
+  settings.self_.instance_ = aSettings.instance_;
+  settings.self_.incarnation_ = aSettings.incarnation_;
+  settings.self_.address_ = aSettings.peerAddress_;
+  return settings;
+}
+
 } // namespace
 
 //! A caller's request from its arrival until its answer is written.
@@ -117,6 +126,7 @@
 CallerServer::CallerServer(common::EventLoop& aLoop,
                            common::Counters& aCounters,
                            peer::Transport& aTransport,
+                           platform::Log& aLog,
                            const peer::EndpointDirectory& aDirectory,
                            ConfigSource aConfig,
                            const CallerServerSettings& aSettings)
@@ -124,6 +134,19 @@
   , config_(std::move(aConfig))
   , settings_(aSettings)
   , policies_(aDirectory, PickerSettingsOf(aSettings), aSettings.seed_)
+  , orders_(
+      aLoop,
+      aCounters,
+      aTransport,
+      aLog,
+      ClaimSettingsOf(aSettings),
+      [this](OrderRecord& aOrder) { StartOrder(aOrder); },
+      [this](common::RequestId aId, std::uint32_t aBytes) {
+        ActiveCall* call = FindCall(aId);
+        if (call != nullptr) {
+          call->OnTaken(aBytes);
+        }
+      })
   , server_(aLoop, aSettings.listen_)
 {
   evhttp_set_max_body_size(server_.Get(), static_cast<ev_ssize_t>(aSettings.maxBodyBytes_));
@@ -173,49 +196,80 @@
     aExchange.Refuse(NotRun(kUnavailable, "body-memory"));
     return;
   }
-  StartCall(
-    aExchange, std::move(aRequest), { route->first, config->version_, route->second.value_ });
+  Submit(aExchange, std::move(aRequest), { route->first, config->version_, route->second.value_ });
 }
 
-void CallerServer::StartCall(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute)
+void CallerServer::Submit(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute)
 {
-  const common::RequestId id(++lastRequestId_);
-  const config::ConfigStatePtr config = config_();
-  const auto& service = aRoute.route_.endpoints_;
-  const auto endpoints = config->endpoints_.find(service);
-  config::Limits limits;
-  if (endpoints != config->endpoints_.end()) {
-    const auto found = config->limits_.find(endpoints->second.value_.limits_);
-    limits = found == config->limits_.end() ? limits : found->second.value_;
-  }
-  ServicePolicy& policy = policies_.For(service, limits, common::Now());
   const CallPlan plan = MakePlan(aRequest, aRoute.route_);
+  const bool isKeyed =
+    aRoute.route_.idempotency_ == config::Idempotency::kKeyed && !aRequest.idempotencyKey_.empty();
+  if (!isKeyed) {
+    const common::RequestId id = AddCall(std::move(aRoute), std::move(aRequest), plan, aExchange);
+    WatchCall(aExchange, id);
+    FindCall(id)->Begin();
+    return;
+  }
+  aExchange.Connection().Watch([this, &aExchange] { orders_.Forget(aExchange); }, nullptr);
+  orders_.Submit(std::move(aRoute), std::move(aRequest), plan, aExchange);
+}
+
+void CallerServer::StartOrder(OrderRecord& aOrder)
+{
+  aOrder.call_ = AddCall(aOrder.route_, std::move(aOrder.request_), aOrder.plan_, aOrder);
+  FindCall(aOrder.call_)->Begin();
+}
+
+common::RequestId CallerServer::AddCall(CallRoute aRoute,
+                                        CallerRequest aRequest,
+                                        const CallPlan& aPlan,
+                                        AnswerSink& aSink)
+{
+  const common::RequestId id(++lastRequestId_);
+  const common::ServiceName service = aRoute.route_.endpoints_;
+  ServicePolicy& policy = policies_.For(service, LimitsOf(service), common::Now());
   bodyBytes_ += aRequest.body_.size();
-  auto call = std::make_unique<ActiveCall>(context_,
-                                           id,
-                                           std::move(aRoute),
-                                           std::move(aRequest),
-                                           plan,
-                                           policy,
-                                           aExchange,
-                                           [this](common::RequestId aId) { EraseCall(aId); });
-  ActiveCall& added = *call;
-  calls_[id] = std::move(call);
-  const auto withCall = [this, id](auto aAction) {
-    ActiveCall* found = FindCall(id);
-    if (found != nullptr) {
-      aAction(*found);
-    }
-  };
+  calls_[id] = std::make_unique<ActiveCall>(context_,
+                                            id,
+                                            std::move(aRoute),
+                                            std::move(aRequest),
+                                            aPlan,
+                                            policy,
+                                            aSink,
+                                            [this](common::RequestId aId) { EraseCall(aId); });
+  return id;
+}
+
+void CallerServer::WatchCall(Exchange& aExchange, common::RequestId aId)
+{
   aExchange.Connection().Watch(
-    [this, withCall] {
+    [this, aId] {
       context_.counters_.Add("caller_disconnects_total");
-      withCall([](ActiveCall& aCall) { aCall.OnCallerGone(); });
+      ActiveCall* call = FindCall(aId);
+      if (call != nullptr) {
+        call->OnCallerGone();
+      }
     },
-    [withCall](std::uint32_t aBytes) {
-      withCall([aBytes](ActiveCall& aCall) { aCall.OnTaken(aBytes); });
+    [this, aId](std::uint32_t aBytes) {
+      ActiveCall* call = FindCall(aId);
+      if (call != nullptr) {
+        call->OnTaken(aBytes);
+      }
     });
-  added.Begin();
+}
+
+config::Limits CallerServer::LimitsOf(const common::ServiceName& aService) const
+{
+  const config::ConfigStatePtr config = config_();
+  if (!config) {
+    return {};
+  }
+  const auto endpoints = config->endpoints_.find(aService);
+  if (endpoints == config->endpoints_.end()) {
+    return {};
+  }
+  const auto limits = config->limits_.find(endpoints->second.value_.limits_);
+  return limits == config->limits_.end() ? config::Limits{} : limits->second.value_;
 }
 
 CallPlan CallerServer::MakePlan(const CallerRequest& aRequest, const config::Route& aRoute) const
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -2,6 +2,7 @@
 #define dandelionstand_caller_CallerServer_h
 
 #include "dandelionstand/caller/ActiveCall.h"
+#include "dandelionstand/caller/KeyedOrders.h"
 #include "dandelionstand/caller/ServicePolicies.h"
 #include "dandelionstand/common/HttpServer.h"
 #include "dandelionstand/common/Ids.h"
@@ -31,7 +32,9 @@
   std::uint64_t maxBodyBytes_ = 1024UL * 1024;
   std::uint64_t maxHeaderBytes_ = 16UL * 1024;
   std::uint64_t bodyMemoryBytes_ = 32UL * 1024 * 1024; //!< For all request bodies together.
+  common::InstanceId instance_;
   common::Incarnation incarnation_;
+  common::Address peerAddress_; //!< Where other daemons reach this one.
   common::FailureDomain failureDomain_;
   common::Region region_;
   std::uint64_t seed_ = 1; //!< Of the choice of endpoints.
@@ -47,6 +50,7 @@
   CallerServer(common::EventLoop& aLoop,
                common::Counters& aCounters,
                peer::Transport& aTransport,
+               platform::Log& aLog,
                const peer::EndpointDirectory& aDirectory,
                ConfigSource aConfig,
                const CallerServerSettings& aSettings);
@@ -56,14 +60,22 @@
   //! Refuses new requests as not run; those in flight go on.
   void StartDrain() { isDraining_ = true; }
   //! Requests whose answer is not yet written whole.
-  std::size_t InFlight() const { return exchanges_.size(); }
+  std::size_t InFlight() const { return exchanges_.size() + orders_.Open(); }
 
 private:
   class Exchange;
 
   void OnRequest(evhttp_request* aRequest);
   void Dispatch(Exchange& aExchange, CallerRequest aRequest);
-  void StartCall(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute);
+  void Submit(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute);
+  void StartOrder(OrderRecord& aOrder);
+  void WatchCall(Exchange& aExchange, common::RequestId aId);
+  //! Takes the call up; Begin has to follow.
+  common::RequestId AddCall(CallRoute aRoute,
+                            CallerRequest aRequest,
+                            const CallPlan& aPlan,
+                            AnswerSink& aSink);
+  config::Limits LimitsOf(const common::ServiceName& aService) const;
   CallPlan MakePlan(const CallerRequest& aRequest, const config::Route& aRoute) const;
   void OnEnvelope(const peer::PeerRef& aFrom, const peer::wire::Envelope& aEnvelope);
   void OnLinkLost(const common::Address& aAddress);
@@ -76,6 +88,7 @@
   ConfigSource config_;
   CallerServerSettings settings_;
   ServicePolicies policies_;
+  KeyedOrders orders_;
   common::HttpServer server_;
   std::unordered_map<common::RequestId, std::unique_ptr<ActiveCall>> calls_;
   std::map<const Exchange*, std::unique_ptr<Exchange>> exchanges_;
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -57,7 +57,9 @@
            .maxBodyBytes_ = aSettings.callers_.maxBodyBytes_,
            .maxHeaderBytes_ = aSettings.callers_.maxHeaderBytes_,
            .bodyMemoryBytes_ = aSettings.callers_.bodyMemoryBytes_,
+           .instance_ = aSettings.instance_,
            .incarnation_ = aIncarnation,
+           .peerAddress_ = aSettings.peers_.advertise_,
            .failureDomain_ = aSettings.failureDomain_,
            .region_ = aSettings.region_,
            .seed_ = aIncarnation.Get() };
@@ -81,6 +83,7 @@
       loop_,
       counters_,
       transport_,
+      log_,
       directory_,
       [this] { return configReader_.InForce(); },
       CallerSettingsOf(aSettings, incarnation_))
