Add dandelion-experiment: convergence, calls and capacity of real fleets

Ruled out: polling /status for convergence (many daemons, coarse); the daemons' own event lines carry the time in force to 1 ms, on one clock.

--- /dev/null
+++ b/src/dandelionstand/load/CapacityExperiment.h
@@ -0,0 +1,71 @@
+#ifndef dandelionstand_load_CapacityExperiment_h
+#define dandelionstand_load_CapacityExperiment_h
+
+#include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/load/Bench.h"
+#include "dandelionstand/load/ConvergenceExperiment.h"
+#include "dandelionstand/load/LinearFit.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dandelionstand::load {
+
+//! What a fleet goes through while it is measured.
+struct CapacityPoint
+{
+  TopologyShape shape_;
+  std::uint32_t routesPerService_ = 2;
+  double changesPerHour_ = 0;
+  double restartsPerHour_ = 0;
+  double callsPerSecond_ = 0;  //!< Lookups, over the whole fleet.
+  double ordersPerSecond_ = 0; //!< Keyed orders, over the whole fleet.
+};
+
+//! One thing that is varied, with the other values as they stand in the base point.
+struct CapacitySweep
+{
+  std::string variable_; //!< With its unit.
+  std::vector<double> values_;
+  void (*apply_)(CapacityPoint& aPoint, double aValue);
+};
+
+struct CapacityPlan
+{
+  CapacityPoint base_;
+  std::vector<CapacitySweep> sweeps_;
+  common::Duration window_ = std::chrono::seconds(4);
+  std::uint32_t repeats_ = 2;
+};
+
+//! The sweeps of a full run, or of one that takes under a minute.
+CapacityPlan MakeCapacityPlan(const TopologyShape& aShape, bool aIsShort);
+
+//! One measured number of one point.
+struct CapacitySample
+{
+  std::string variable_;
+  double value_ = 0;
+  std::string metric_; //!< With its unit.
+  double measured_ = 0;
+};
+
+//! Measures every point of the plan; a point that fails is reported and left out.
+std::vector<CapacitySample> RunCapacity(common::EventLoop& aLoop,
+                                        const CapacityPlan& aPlan,
+                                        const BenchSettings& aSettings,
+                                        const ProgressSink& aProgress);
+
+//! Every sample as a row.
+Table MakeSampleTable(const std::vector<CapacitySample>& aSamples);
+
+//! One row for each variable and metric: slope, its standard error, intercept and measured range.
+Table MakeSlopeTable(const std::vector<CapacitySample>& aSamples);
+
+//! One plot for each metric, with a line for each variable scaled to its largest value.
+std::vector<Plot> MakeCapacityPlots(const std::vector<CapacitySample>& aSamples);
+
+} // namespace dandelionstand::load
+
+#endif // dandelionstand_load_CapacityExperiment_h
--- a/src/dandelionstand/load/Fetch.cpp
+++ b/src/dandelionstand/load/Fetch.cpp
@@ -45,6 +45,27 @@
   return bodies;
 }
 
+bool Post(common::EventLoop& aLoop,
+          const common::Address& aAddress,
+          const std::string& aPath,
+          const std::string& aBody,
+          common::Duration aTimeout)
+{
+  platform::HttpClient client(aLoop, { .address_ = aAddress, .sourceAddress_ = "" });
+  platform::HttpRequest request;
+  request.method_ = platform::HttpMethod::kPost;
+  request.target_ = aPath;
+  request.body_ = aBody;
+  request.timeout_ = aTimeout;
+  bool isOk = false;
+  client.Send(std::move(request), [&](const platform::HttpAnswer& aAnswer) {
+    isOk = aAnswer.outcome_ == platform::HttpOutcome::kAnswered && aAnswer.status_ == kOk;
+    aLoop.Stop();
+  });
+  aLoop.Run();
+  return isOk;
+}
+
 void RunFor(common::EventLoop& aLoop, common::Duration aTime)
 {
   const auto timer = aLoop.After(aTime, [&aLoop]() { aLoop.Stop(); });
--- a/src/dandelionstand/load/Fetch.h
+++ b/src/dandelionstand/load/Fetch.h
@@ -17,6 +17,13 @@
                                                  const std::string& aPath,
                                                  common::Duration aTimeout);
 
+//! Posts a body and runs the loop until the answer; whether its status is 200.
+bool Post(common::EventLoop& aLoop,
+          const common::Address& aAddress,
+          const std::string& aPath,
+          const std::string& aBody,
+          common::Duration aTimeout);
+
 //! Runs the loop for a time.
 void RunFor(common::EventLoop& aLoop, common::Duration aTime);
 
--- a/src/dandelionstand/load/Fleet.cpp
+++ b/src/dandelionstand/load/Fleet.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -21,21 +22,36 @@
 constexpr std::size_t kMaxProcesses = 300;
 constexpr Duration kPollInterval = std::chrono::milliseconds(100);
 constexpr Duration kFetchTimeout = std::chrono::seconds(5);
+constexpr Duration kProxyStartLimit = std::chrono::seconds(10);
 constexpr Duration kLogStopLimit = std::chrono::seconds(5);
 constexpr const char* kInForceEvent = "config_in_force";
 
-//! The last time at which the file says that the version came into force.
-std::optional<std::uint64_t> TimeInForce(const std::string& aFile, common::Version aVersion)
+//! When the line says that the version or a later one came into force; none if it does not say
+//! that.
+std::optional<std::uint64_t> TimeInForce(const std::string& aLine, common::Version aVersion)
+{
+  if (FindField(aLine, "event") != kInForceEvent) {
+    return std::nullopt;
+  }
+  const std::string version = FindField(aLine, "version").value_or("0");
+  if (std::strtoull(version.c_str(), nullptr, 10) < aVersion.Get()) {
+    return std::nullopt;
+  }
+  return ParseEventTime(FindField(aLine, "time").value_or(""));
+}
+
+std::optional<std::uint64_t> FirstTimeInForce(const std::string& aFile,
+                                              common::Version aVersion,
+                                              std::uint64_t aSinceMs)
 {
   std::ifstream file(aFile);
-  std::optional<std::uint64_t> time;
   for (std::string line; std::getline(file, line);) {
-    if (FindField(line, "event") == kInForceEvent &&
-        FindField(line, "version") == std::to_string(aVersion.Get())) {
-      time = ParseEventTime(FindField(line, "time").value_or(""));
+    const std::optional<std::uint64_t> time = TimeInForce(line, aVersion);
+    if (time && *time >= aSinceMs) {
+      return time;
     }
   }
-  return time;
+  return std::nullopt;
 }
 
 } // namespace
@@ -47,7 +63,7 @@
   , members_(topology_.instances_.size())
 {
   const std::size_t perInstance = settings_.hasTargets_ ? 2 : 1;
-  if (topology_.instances_.size() * perInstance + 1 > kMaxProcesses) {
+  if (topology_.instances_.size() * perInstance + 2 > kMaxProcesses) {
     throw std::invalid_argument("a fleet has at most 300 processes");
   }
   std::filesystem::create_directories(settings_.folder_);
@@ -55,6 +71,24 @@
 
 Fleet::~Fleet() = default;
 
+void Fleet::StartProxy()
+{
+  const std::string settings = settings_.folder_ + "/proxy.json";
+  WriteTextFile(settings, MakeProxySettings(topology_));
+  proxy_.emplace(ChildCommand{ settings_.programs_ + "/standin-fault-proxy",
+                               { "--settings", settings },
+                               settings_.folder_ + "/proxy.out" });
+  const std::string rules =
+    MakeDelayRules(topology_.shape_, settings_.betweenDomains_, settings_.betweenRegions_);
+  const common::TimePoint end = common::Now() + kProxyStartLimit;
+  while (!Post(loop_, topology_.proxyControl_, "/control", rules, kFetchTimeout)) {
+    if (common::Now() > end) {
+      throw std::runtime_error("the fault proxy does not answer");
+    }
+    RunFor(loop_, kPollInterval);
+  }
+}
+
 void Fleet::StartLog()
 {
   log_.emplace(ChildCommand{ settings_.programs_ + "/standin-log",
@@ -98,6 +132,9 @@
 void Fleet::StartAll()
 {
   StartLog();
+  if (topology_.shape_.isProxied_) {
+    StartProxy();
+  }
   for (std::size_t index = 0; index < members_.size(); ++index) {
     StartDaemon(index);
     if (settings_.hasTargets_) {
@@ -131,11 +168,11 @@
   return false;
 }
 
-bool Fleet::WaitForVersion(common::Version aVersion, Duration aLimit)
+bool Fleet::WaitForVersion(common::Version aVersion, std::uint64_t aSinceMs, Duration aLimit)
 {
   const common::TimePoint end = common::Now() + aLimit;
   while (common::Now() < end) {
-    const auto times = TimesInForce(aVersion);
+    const auto times = TimesInForce(aVersion, aSinceMs);
     if (std::all_of(
           times.begin(), times.end(), [](const auto& aTime) { return aTime.has_value(); })) {
       return true;
@@ -145,11 +182,12 @@
   return false;
 }
 
-std::vector<std::optional<std::uint64_t>> Fleet::TimesInForce(common::Version aVersion) const
+std::vector<std::optional<std::uint64_t>> Fleet::TimesInForce(common::Version aVersion,
+                                                              std::uint64_t aSinceMs) const
 {
   std::vector<std::optional<std::uint64_t>> times;
   for (const InstancePlan& instance : topology_.instances_) {
-    times.push_back(TimeInForce(FileOf(instance, ".out"), aVersion));
+    times.push_back(FirstTimeInForce(FileOf(instance, ".out"), aVersion, aSinceMs));
   }
   return times;
 }
@@ -169,13 +207,16 @@
     }
     const auto usage = ReadProcessUsage(members_[index].daemon_->Pid());
     if (usage) {
-      sample.daemons_.push_back(
-        { &topology_.instances_[index], *usage, Metrics::Parse(*bodies[index]) });
+      sample.daemons_.push_back({ &topology_.instances_[index],
+                                  members_[index].daemon_->Pid(),
+                                  *usage,
+                                  Metrics::Parse(*bodies[index]) });
     }
   }
   if (log_) {
     sample.log_ = ReadProcessUsage(log_->Pid()).value_or(ProcessUsage{});
   }
+  sample.borders_ = ReadBorders();
   return sample;
 }
 
@@ -214,10 +255,22 @@
       processes.push_back(&*member.target_);
     }
   }
-  if (log_) {
-    processes.push_back(&*log_);
+  for (std::optional<ChildProcess>* process : { &log_, &proxy_ }) {
+    if (*process) {
+      processes.push_back(&**process);
+    }
   }
   return processes;
 }
 
+BorderBytes Fleet::ReadBorders()
+{
+  if (!proxy_) {
+    return {};
+  }
+  const auto bodies = FetchAll(loop_, { topology_.proxyControl_ }, "/counts", kFetchTimeout);
+  const auto counts = ParseBorderCounts(bodies.front().value_or(""), topology_.shape_);
+  return counts.value_or(BorderBytes{});
+}
+
 } // namespace dandelionstand::load
--- a/src/dandelionstand/load/Topology.cpp
+++ b/src/dandelionstand/load/Topology.cpp
@@ -20,7 +20,9 @@
 constexpr int kTargetPort = 8000;
 constexpr int kLogPort = 9000;
 constexpr int kProxiedLogPort = 9100;
+constexpr int kProxyControlPort = 9200;
 constexpr std::uint32_t kLogHost = 254;
+constexpr std::uint32_t kProxyHost = 253;
 
 struct UserNames
 {
@@ -58,8 +60,8 @@
 
 std::string MakeIp(const TopologyShape& aShape, std::uint32_t aDomain, std::uint32_t aHost)
 {
-  return "127." + std::to_string(kFirstDomainByte + aDomain) + "." + std::to_string(aShape.run_) +
-         "." + std::to_string(aHost);
+  return "127." + std::to_string(NetworkOf(aDomain)) + "." + std::to_string(aShape.run_) + "." +
+         std::to_string(aHost);
 }
 
 Address MakeAddress(const std::string& aIp, int aPort)
@@ -109,6 +111,16 @@
 
 } // namespace
 
+std::uint32_t NetworkOf(std::uint32_t aFailureDomain)
+{
+  return kFirstDomainByte + aFailureDomain;
+}
+
+std::uint32_t RegionNumberOf(const TopologyShape& aShape, std::uint32_t aNetwork)
+{
+  return (aNetwork - kFirstDomainByte) % aShape.regions_;
+}
+
 std::vector<std::string> ServicesOf(const TopologyShape& aShape)
 {
   std::vector<std::string> services = NamesOf(aShape.user_).services_;
@@ -132,6 +144,7 @@
   const std::string logIp = MakeIp(aShape, 0, kLogHost);
   topology.log_ = MakeAddress(logIp, kLogPort);
   topology.logPath_ = MakeAddress(logIp, aShape.isProxied_ ? kProxiedLogPort : kLogPort);
+  topology.proxyControl_ = MakeAddress(MakeIp(aShape, 0, kProxyHost), kProxyControlPort);
   return topology;
 }
 
--- a/src/dandelionstand/load/Topology.h
+++ b/src/dandelionstand/load/Topology.h
@@ -45,8 +45,15 @@
   std::vector<InstancePlan> instances_;
   common::Address log_;     //!< Where the log listens.
   common::Address logPath_; //!< Where daemons reach it; the proxy if there is one.
+  common::Address proxyControl_;
 };
 
+//! Second byte of the addresses of a failure domain.
+std::uint32_t NetworkOf(std::uint32_t aFailureDomain);
+
+//! Number of the region in which the failure domain with that second byte lies.
+std::uint32_t RegionNumberOf(const TopologyShape& aShape, std::uint32_t aNetwork);
+
 //! Lays out the instances, spread evenly over the failure domains. Each failure domain has a
 //! network 127.<10 + domain>.<run>.0/24 of its own and each instance an IP number of its own.
 //! Throws std::invalid_argument if the shape cannot be laid out.
