Add the demo, per-thread processor times and a table for the target size

Cause: ticks of 10 ms hide what a daemon at rest uses, so the scheduler's own times of the threads are summed; the target table adds up slopes and names how far each is extrapolated. Ruled out: the demo as a shell script (topology and waits would stand twice).

--- a/programs/dandelion-experiment.cpp
+++ b/programs/dandelion-experiment.cpp
@@ -4,6 +4,8 @@
 #include "dandelionstand/load/CallsExperiment.h"
 #include "dandelionstand/load/CapacityExperiment.h"
 #include "dandelionstand/load/ConvergenceExperiment.h"
+#include "dandelionstand/load/Demo.h"
+#include "dandelionstand/load/TextFile.h"
 
 #include <boost/program_options.hpp>
 
@@ -150,6 +152,7 @@
   const auto samples = load::RunCapacity(loop, plan, MakeSettings(aOptions), &Progress);
   load::WriteTextFile(aOptions.output_ + "/samples.csv", ToCsv(load::MakeSampleTable(samples)));
   Write(aOptions, "slopes", load::MakeSlopeTable(samples));
+  Write(aOptions, "target", load::MakeTargetTable(plan, samples));
   std::size_t number = 0;
   for (const load::Plot& plot : load::MakeCapacityPlots(samples)) {
     const std::string name = "/capacity-" + std::to_string(++number) + ".svg";
@@ -157,12 +160,23 @@
   }
 }
 
+bool RunDemo(const Options& aOptions)
+{
+  common::EventLoop loop;
+  load::Demo demo(loop,
+                  MakeShape(aOptions, 18),
+                  aOptions.programs_,
+                  aOptions.output_,
+                  [](const std::string& aText) { std::cout << aText << std::endl; });
+  return demo.Run();
+}
+
 options::options_description Describe(Options& aOptions)
 {
-  options::options_description description("dandelion-experiment convergence|calls|capacity");
+  options::options_description description("dandelion-experiment convergence|calls|capacity|demo");
   auto add = description.add_options();
   add("help", "print this text");
-  add("mode", options::value(&aOptions.mode_), "convergence, calls or capacity");
+  add("mode", options::value(&aOptions.mode_), "convergence, calls, capacity or demo");
   add("short", options::bool_switch(&aOptions.isShort_), "a version that takes under a minute");
   add("no-proxy",
       options::bool_switch(&aOptions.isUnproxied_),
@@ -184,7 +198,7 @@
   return description;
 }
 
-void RunMode(Options aOptions, const std::string& aOwnPath)
+bool RunMode(Options aOptions, const std::string& aOwnPath)
 {
   if (aOptions.programs_.empty()) {
     aOptions.programs_ = std::filesystem::read_symlink(aOwnPath).parent_path().string();
@@ -196,9 +210,12 @@
     RunCalls(aOptions);
   } else if (aOptions.mode_ == "capacity") {
     RunCapacity(aOptions);
+  } else if (aOptions.mode_ == "demo") {
+    return RunDemo(aOptions);
   } else {
-    throw options::error("the mode must be convergence, calls or capacity");
+    throw options::error("the mode must be convergence, calls, capacity or demo");
   }
+  return true;
 }
 
 } // namespace
@@ -221,8 +238,7 @@
       std::cout << description;
       return kSuccess;
     }
-    RunMode(parsed, "/proc/self/exe");
-    return kSuccess;
+    return RunMode(parsed, "/proc/self/exe") ? kSuccess : kFailure;
   } catch (const options::error& error) {
     std::cerr << error.what() << "\n";
     return kUsage;
--- a/src/dandelionstand/load/CapacityExperiment.cpp
+++ b/src/dandelionstand/load/CapacityExperiment.cpp
@@ -14,7 +14,14 @@
 
 constexpr double kSecondsPerHour = 3600;
 constexpr double kPercent = 100;
-constexpr std::size_t kEntries = 4;
+constexpr double kTargetDaemons = 1400;
+constexpr double kTargetDomains = 10;
+constexpr double kTargetServices = 79;
+constexpr double kTargetRoutes = 10;
+constexpr double kTargetChanges = 200; // 4,800 a day
+constexpr double kTargetRestarts = 10; // 240 a day
+constexpr double kTargetCalls = 230'000 / kTargetDaemons;
+constexpr double kTargetOrders = kTargetCalls / 100;
 constexpr Duration kShortWindow = std::chrono::seconds(2);
 
 void SetDaemons(CapacityPoint& aPoint, double aValue)
@@ -71,8 +78,10 @@
 LoadSettings MakeLoad(const CapacityPoint& aPoint, Duration aWindow)
 {
   LoadSettings settings;
-  const double rate = aPoint.callsPerSecond_ + aPoint.ordersPerSecond_;
-  const auto orderPercent = static_cast<std::uint32_t>(aPoint.ordersPerSecond_ / rate * kPercent);
+  const double rateOfOne = aPoint.callsPerSecond_ + aPoint.ordersPerSecond_;
+  const double rate = rateOfOne * aPoint.shape_.daemons_;
+  const auto orderPercent =
+    static_cast<std::uint32_t>(aPoint.ordersPerSecond_ / rateOfOne * kPercent);
   settings.classes_ = MakeCallClasses(ServicesOf(aPoint.shape_), orderPercent);
   settings.steps_ = { { rate, aWindow } };
   return settings;
@@ -92,7 +101,7 @@
   });
   const FleetSample before = aBench.GetFleet().Sample();
   if (aPoint.callsPerSecond_ + aPoint.ordersPerSecond_ > 0) {
-    aBench.RunLoad(MakeLoad(aPoint, aWindow), kEntries);
+    aBench.RunLoad(MakeLoad(aPoint, aWindow), aPoint.shape_.daemons_);
   }
   const common::TimePoint end = before.time_ + aWindow;
   while (common::Now() < end) {
@@ -119,26 +128,28 @@
 {
   CapacityPlan plan;
   plan.base_.shape_ = aShape;
+  const double daemons = aShape.daemons_;
+  const double domains = aShape.failureDomains_;
+  const double services = aShape.services_;
   if (aIsShort) {
     plan.window_ = kShortWindow;
-    plan.repeats_ = 1;
     plan.sweeps_ = {
-      { "daemons", { 6, 24 }, &SetDaemons },
-      { "services", { 3, 79 }, &SetServices },
-      { "changes/h", { 0, 7200 }, &SetChanges },
-      { "calls/s", { 0, 200 }, &SetCalls },
+      { "daemons", daemons, kTargetDaemons, true, { 6, 24 }, &SetDaemons },
+      { "services", services, kTargetServices, true, { 3, 79 }, &SetServices },
+      { "changes/h", 0, kTargetChanges, true, { 0, 7200 }, &SetChanges },
+      { "calls/s a daemon", 0, kTargetCalls, false, { 0, 20 }, &SetCalls },
     };
     return plan;
   }
   plan.sweeps_ = {
-    { "daemons", { 6, 18, 48, 96 }, &SetDaemons },
-    { "failure domains", { 3, 6, 10 }, &SetFailureDomains },
-    { "services", { 3, 30, 79 }, &SetServices },
-    { "routes a service", { 2, 50, 200 }, &SetRoutes },
-    { "changes/h", { 0, 3600, 14'400 }, &SetChanges },
-    { "restarts/h", { 0, 600, 1800 }, &SetRestarts },
-    { "calls/s", { 0, 200, 600 }, &SetCalls },
-    { "orders/s", { 0, 5, 20 }, &SetOrders },
+    { "daemons", daemons, kTargetDaemons, true, { 6, 18, 48, 96 }, &SetDaemons },
+    { "failure domains", domains, kTargetDomains, true, { 3, 6, 10 }, &SetFailureDomains },
+    { "services", services, kTargetServices, true, { 3, 30, 79 }, &SetServices },
+    { "routes a service", 2, kTargetRoutes, true, { 2, 50, 200 }, &SetRoutes },
+    { "changes/h", 0, kTargetChanges, true, { 0, 3600, 14'400 }, &SetChanges },
+    { "restarts/h", 0, kTargetRestarts, true, { 0, 900, 1800 }, &SetRestarts },
+    { "calls/s a daemon", 0, kTargetCalls, false, { 0, 20, 100 }, &SetCalls },
+    { "orders/s a daemon", 0, kTargetOrders, false, { 0, 0.5, 1.6 }, &SetOrders },
   };
   return plan;
 }
--- a/src/dandelionstand/load/CapacityExperiment.h
+++ b/src/dandelionstand/load/CapacityExperiment.h
@@ -19,14 +19,17 @@
   std::uint32_t routesPerService_ = 2;
   double changesPerHour_ = 0;
   double restartsPerHour_ = 0;
-  double callsPerSecond_ = 0;  //!< Lookups, over the whole fleet.
-  double ordersPerSecond_ = 0; //!< Keyed orders, over the whole fleet.
+  double callsPerSecond_ = 0;  //!< Lookups that enter at each daemon.
+  double ordersPerSecond_ = 0; //!< Keyed orders that enter at each daemon.
 };
 
 //! One thing that is varied, with the other values as they stand in the base point.
 struct CapacitySweep
 {
-  std::string variable_; //!< With its unit.
+  std::string variable_;  //!< With its unit.
+  double base_ = 0;       //!< Its value in the base point.
+  double target_ = 0;     //!< Its value in the fleet that the design has to carry.
+  bool isControl_ = true; //!< Counts as control, not as calls.
   std::vector<double> values_;
   void (*apply_)(CapacityPoint& aPoint, double aValue);
 };
@@ -60,9 +63,14 @@
 //! Every sample as a row.
 Table MakeSampleTable(const std::vector<CapacitySample>& aSamples);
 
-//! One row for each variable and metric: slope, its standard error, intercept and measured range.
+//! One row for each variable and metric that is not 0 everywhere: slope, its standard error,
+//! intercept and measured range.
 Table MakeSlopeTable(const std::vector<CapacitySample>& aSamples);
 
+//! One row for each metric: its value in the base point, what each variable adds up to its target
+//! (with the factor beyond the measured range), and the sums for control and with calls.
+Table MakeTargetTable(const CapacityPlan& aPlan, const std::vector<CapacitySample>& aSamples);
+
 //! One plot for each metric, with a line for each variable scaled to its largest value.
 std::vector<Plot> MakeCapacityPlots(const std::vector<CapacitySample>& aSamples);
 
--- a/src/dandelionstand/load/Fleet.cpp
+++ b/src/dandelionstand/load/Fleet.cpp
@@ -2,7 +2,7 @@
 
 #include "dandelionstand/load/EventLines.h"
 #include "dandelionstand/load/Fetch.h"
-#include "dandelionstand/load/Report.h"
+#include "dandelionstand/load/TextFile.h"
 
 #include <algorithm>
 #include <csignal>
@@ -119,6 +119,13 @@
                                                  FileOf(instance, ".target.out") });
 }
 
+bool Fleet::StopTarget(std::size_t aIndex, Duration aLimit)
+{
+  ChildProcess& target = *members_[aIndex].target_;
+  target.Signal(SIGTERM);
+  return target.Wait(aLimit) == 0;
+}
+
 void Fleet::StartDaemon(std::size_t aIndex)
 {
   const InstancePlan& instance = topology_.instances_[aIndex];
--- a/src/dandelionstand/load/Fleet.h
+++ b/src/dandelionstand/load/Fleet.h
@@ -62,6 +62,8 @@
   //! Waits for the log's present process to end.
   void StopLog();
   void StartTarget(std::size_t aIndex);
+  //! Lets a target leave; whether it ended within the limit with exit status 0.
+  bool StopTarget(std::size_t aIndex, common::Duration aLimit);
   void StartDaemon(std::size_t aIndex);
   //! Starts the log, the daemons and their targets, and the proxy if the topology has one.
   void StartAll();
--- a/src/dandelionstand/load/FleetStats.cpp
+++ b/src/dandelionstand/load/FleetStats.cpp
@@ -42,6 +42,7 @@
   const Growth growth(aEarlier, aLater, aSeconds);
   DaemonRates rates;
   rates.instance_ = aLater.instance_;
+  rates.isRegionHead_ = aLater.metrics_.Sum("dandelion_spreading_is_reader") > 0;
   rates.cpuPercent_ = Seconds(aLater.usage_.cpu_ - aEarlier.usage_.cpu_) / aSeconds * kPercent;
   rates.residentMb_ = static_cast<double>(aLater.usage_.residentBytes_) / kBytesPerMb;
   rates.messagesPerSecond_ = growth.Of("dandelion_peer_messages_sent_total");
@@ -107,6 +108,15 @@
   return most;
 }
 
+double MaxOfHeads(const FleetRates& aRates, RateField aField)
+{
+  double most = 0;
+  for (const DaemonRates& daemon : aRates.daemons_) {
+    most = daemon.isRegionHead_ ? std::max(most, daemon.*aField) : most;
+  }
+  return most;
+}
+
 double SumOf(const FleetRates& aRates, RateField aField)
 {
   double sum = 0;
--- a/src/dandelionstand/load/FleetStats.h
+++ b/src/dandelionstand/load/FleetStats.h
@@ -12,6 +12,7 @@
 struct DaemonRates
 {
   const InstancePlan* instance_ = nullptr;
+  bool isRegionHead_ = false;     //!< Reads the log for its region at the later sample.
   double cpuPercent_ = 0;         //!< Of one core.
   double residentMb_ = 0;         //!< At the later sample, in 2^20 bytes.
   double messagesPerSecond_ = 0;  //!< Sent to other daemons.
@@ -46,6 +47,8 @@
 using RateField = double DaemonRates::*;
 
 double MeanOf(const FleetRates& aRates, RateField aField);
+//! The largest number among the region heads; 0 if there is none.
+double MaxOfHeads(const FleetRates& aRates, RateField aField);
 double MaxOf(const FleetRates& aRates, RateField aField);
 double SumOf(const FleetRates& aRates, RateField aField);
 
--- a/src/dandelionstand/load/ProcessUsage.cpp
+++ b/src/dandelionstand/load/ProcessUsage.cpp
@@ -1,8 +1,11 @@
 #include "dandelionstand/load/ProcessUsage.h"
 
+#include "dandelionstand/load/TextFile.h"
+
 #include <unistd.h>
 
-#include <fstream>
+#include <algorithm>
+#include <filesystem>
 #include <sstream>
 #include <vector>
 
@@ -15,6 +18,19 @@
 constexpr std::size_t kSystemTicksField = 12;
 constexpr std::size_t kResidentPagesField = 21;
 constexpr std::uint64_t kMicrosecondsPerSecond = 1'000'000;
+constexpr std::uint64_t kNanosecondsPerMicrosecond = 1000;
+
+common::Duration SumThreadTimes(const std::string& aProcessFolder)
+{
+  common::Duration sum{};
+  std::error_code ignored;
+  for (const auto& thread :
+       std::filesystem::directory_iterator(aProcessFolder + "/task", ignored)) {
+    sum +=
+      ParseThreadTime(ReadTextFile(thread.path().string() + "/schedstat")).value_or(sum.zero());
+  }
+  return sum;
+}
 
 bool ToNumber(const std::string& aText, std::uint64_t& aNumber)
 {
@@ -52,14 +68,30 @@
   return ProcessUsage{ common::Duration(cpuUs), pages * aPageBytes };
 }
 
+std::optional<common::Duration> ParseThreadTime(const std::string& aText)
+{
+  std::istringstream stream(aText);
+  std::uint64_t nanoseconds = 0;
+  stream >> nanoseconds;
+  if (stream.fail()) {
+    return std::nullopt;
+  }
+  return common::Duration(nanoseconds / kNanosecondsPerMicrosecond);
+}
+
 std::optional<ProcessUsage> ReadProcessUsage(int aPid)
 {
-  std::ifstream file("/proc/" + std::to_string(aPid) + "/stat");
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ParseProcessStat(text.str(),
-                          static_cast<std::uint64_t>(sysconf(_SC_CLK_TCK)),
-                          static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)));
+  const std::string folder = "/proc/" + std::to_string(aPid);
+  std::optional<ProcessUsage> usage =
+    ParseProcessStat(ReadTextFile(folder + "/stat"),
+                     static_cast<std::uint64_t>(sysconf(_SC_CLK_TCK)),
+                     static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)));
+  if (usage) {
+    // The ticks of the process are too coarse for a daemon at rest; the scheduler's own times of
+    // the threads are not, but lack those of threads that have ended.
+    usage->cpu_ = std::max(usage->cpu_, SumThreadTimes(folder));
+  }
+  return usage;
 }
 
 } // namespace dandelionstand::load
--- a/src/dandelionstand/load/ProcessUsage.h
+++ b/src/dandelionstand/load/ProcessUsage.h
@@ -22,6 +22,9 @@
                                              std::uint64_t aTicksPerSecond,
                                              std::uint64_t aPageBytes);
 
+//! Parses the text of /proc/<pid>/task/<tid>/schedstat: the thread's time on a processor.
+std::optional<common::Duration> ParseThreadTime(const std::string& aText);
+
 //! Reads the usage of a process; none if it has gone.
 std::optional<ProcessUsage> ReadProcessUsage(int aPid);
 
--- a/src/dandelionstand/load/Report.cpp
+++ b/src/dandelionstand/load/Report.cpp
@@ -1,10 +1,10 @@
 #include "dandelionstand/load/Report.h"
 
+#include "dandelionstand/load/TextFile.h"
+
 #include <algorithm>
 #include <array>
 #include <filesystem>
-#include <fstream>
-#include <stdexcept>
 
 namespace dandelionstand::load {
 
@@ -229,14 +229,4 @@
   WriteTextFile(aFolder + "/rates.svg", ToSvg(MakeRatePlot(aResults)));
 }
 
-void WriteTextFile(const std::string& aPath, const std::string& aText)
-{
-  std::ofstream file(aPath, std::ios::binary | std::ios::trunc);
-  file << aText;
-  file.close();
-  if (!file) {
-    throw std::runtime_error("cannot write " + aPath);
-  }
-}
-
 } // namespace dandelionstand::load
--- a/src/dandelionstand/load/Report.h
+++ b/src/dandelionstand/load/Report.h
@@ -47,9 +47,6 @@
 //! absent.
 void WriteReport(const RunResults& aResults, const std::string& aFolder);
 
-//! Writes one file; throws std::runtime_error if that fails.
-void WriteTextFile(const std::string& aPath, const std::string& aText);
-
 } // namespace dandelionstand::load
 
 #endif // dandelionstand_load_Report_h
--- /dev/null
+++ b/src/dandelionstand/load/TextFile.h
@@ -0,0 +1,16 @@
+#ifndef dandelionstand_load_TextFile_h
+#define dandelionstand_load_TextFile_h
+
+#include <string>
+
+namespace dandelionstand::load {
+
+//! The text of a file; empty if it cannot be read.
+std::string ReadTextFile(const std::string& aPath);
+
+//! Writes one file; throws std::runtime_error if that fails.
+void WriteTextFile(const std::string& aPath, const std::string& aText);
+
+} // namespace dandelionstand::load
+
+#endif // dandelionstand_load_TextFile_h
