Prove that calls go on without the log and catch up after it

Cause: outages, silent connections and cut-off failure domains were tested on the log client alone. After: integration_platform_tests, 4 test cases pass.

--- a/tests/integration/PlatformTests.cpp
+++ b/tests/integration/PlatformTests.cpp
@@ -1,35 +1,47 @@
+#include "tests/support/Documents.h"
 #include "tests/support/Fleet.h"
 
 #include <catch2/catch.hpp>
 
+#include <string>
+
 using namespace dandelionstand;
 using namespace dandelionstand::tests;
 
 namespace {
 
-const nlohmann::json kDocument = { { "limits",
-                                     { { "small",
-                                         { { "slots", 18 },
-                                           { "connections", 110 },
-                                           { "queue_length", 36 },
-                                           { "retry_budget_percent", 10 } } } } },
-                                   { "endpoints", { { "katalog", { { "limits", "small" } } } } },
-                                   { "routes",
-                                     { { "browse",
-                                         { { "path_prefix", "/katalog" },
-                                           { "methods", { "GET" } },
-                                           { "endpoints", "katalog" },
-                                           { "idempotency", "idempotent" },
-                                           { "class", "browse" },
-                                           { "timeout_ms", 5000 },
-                                           { "attempts", 3 } } } } } };
-
-bool IsAnswered(FleetInstance& aInstance, const std::string& aIdentity)
+//! A daemon with a target in each of two failure domains, and one without a target.
+FleetOptions TwoDomains()
+{
+  return { .regions_ = { { "east", { { "a", { { "a0", "katalog" }, { "a1", "" } } } } },
+                         { "west", { { "b", { { "b0", "katalog" } } } } } } };
+}
+
+bool IsAnswered(FleetInstance& aInstance)
 {
+  static int calls = 0;
+  const std::string identity = "call-" + std::to_string(++calls);
   const HttpReply reply = aInstance.Get("/katalog/cushions?bytes=2000",
-                                        { .headers_ = { { "Request-Identity", aIdentity } } });
+                                        { .headers_ = { { "Request-Identity", identity } } });
   return reply.status_ == 200 && reply.body_.size() == 2000 &&
-         reply.body_.starts_with(aIdentity + "\n") && reply.body_.ends_with("\n" + aIdentity);
+         reply.body_.starts_with(identity + "\n") && reply.body_.ends_with("\n" + identity);
+}
+
+bool AreAllAnswered(Fleet& aFleet)
+{
+  for (FleetInstance& instance : aFleet) {
+    if (!WaitUntil([&]() { return IsAnswered(instance); })) {
+      return false;
+    }
+  }
+  return true;
+}
+
+nlohmann::json ChangedDocument()
+{
+  nlohmann::json document = BrowseDocument("katalog");
+  document["routes"]["browse"]["timeout_ms"] = 4000;
+  return document;
 }
 
 } // namespace
@@ -40,10 +52,68 @@
   Fleet fleet({ .regions_ = { { "east", { { "a", { { "a0", "" } } } } },
                               { "west", { { "b", { { "b0", "katalog" } } } } } } });
   fleet.Start();
-  const std::uint64_t version = fleet.Publish(kDocument);
-  REQUIRE(fleet.WaitForVersion(version));
-  CHECK(WaitUntil([&]() { return IsAnswered(fleet["a0"], "call-1"); }));
-  CHECK(WaitUntil([&]() { return IsAnswered(fleet["b0"], "call-2"); }));
+  REQUIRE(fleet.WaitForVersion(fleet.Publish(BrowseDocument("katalog"))));
+  CHECK(AreAllAnswered(fleet));
   CHECK(fleet.GetBorders().Count("b", "a").bytes_ > 2000);
   CHECK(fleet.GetBorders().Count(kPlatform, "a").bytes_ > 0);
 }
+
+TEST_CASE("Calls go on while the log is away, and a publish after its return is in force",
+          "[integration][platform]")
+{
+  Fleet fleet(TwoDomains());
+  fleet.Start();
+  REQUIRE(fleet.WaitForVersion(fleet.Publish(BrowseDocument("katalog"))));
+  REQUIRE(AreAllAnswered(fleet));
+  SECTION("refusing")
+  {
+    fleet.ControlLog({ { "outage", "refuse" } });
+  }
+  SECTION("without any answer")
+  {
+    fleet.ControlLog({ { "outage", "silent" } });
+  }
+  SECTION("cut off from every failure domain")
+  {
+    fleet.GetBorders().CutGroups({ kPlatform }, { "a", "b" });
+  }
+  // Every daemon has noticed, so that the calls below are made during the outage.
+  for (FleetInstance& instance : fleet) {
+    CHECK(WaitUntil(
+      [&]() { return instance.Metric("dandelion_log_reads_total{outcome=\"unavailable\"}") > 0; }));
+  }
+  CHECK(AreAllAnswered(fleet));
+  fleet.ControlLog({ { "outage", "none" } });
+  fleet.GetBorders().HealAll();
+  CHECK(fleet.WaitForVersion(fleet.Publish(ChangedDocument())));
+  CHECK(AreAllAnswered(fleet));
+}
+
+TEST_CASE("A publish is in force and calls are answered after all connections went silent",
+          "[integration][platform]")
+{
+  Fleet fleet(TwoDomains());
+  fleet.Start();
+  REQUIRE(fleet.WaitForVersion(fleet.Publish(BrowseDocument("katalog"))));
+  REQUIRE(AreAllAnswered(fleet));
+  fleet.GetBorders().FreezeAll();
+  CHECK(fleet.WaitForVersion(fleet.Publish(ChangedDocument())));
+  CHECK(AreAllAnswered(fleet));
+}
+
+TEST_CASE("A failure domain that is cut off serves from its own target and catches up when healed",
+          "[integration][platform]")
+{
+  Fleet fleet(TwoDomains());
+  fleet.Start();
+  const std::uint64_t first = fleet.Publish(BrowseDocument("katalog"));
+  REQUIRE(fleet.WaitForVersion(first));
+  REQUIRE(AreAllAnswered(fleet));
+  fleet.GetBorders().CutDomain("b");
+  const std::uint64_t second = fleet.Publish(ChangedDocument());
+  CHECK(WaitUntil([&]() { return fleet["a0"].Version() == second; }));
+  CHECK(fleet["b0"].Version() == first);
+  CHECK(AreAllAnswered(fleet));
+  fleet.GetBorders().HealDomain("b");
+  CHECK(fleet.WaitForVersion(second));
+}
