--- /dev/null
+++ b/src/dandelionstand/operators/LogReading.cpp
@@ -0,0 +1,66 @@
+#include "dandelionstand/operators/LogReading.h"
+
+#include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/config/StreamRecord.h"
+#include "dandelionstand/platform/Log.h"
+
+#include <iterator>
+#include <utility>
+
+namespace dandelionstand::operators {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const platform::StreamName kStream(config::kConfigStream);
+constexpr common::Duration kRetryDelay = 250ms;
+
+} // namespace
+
+LogReading::LogReading(common::EventLoop& aLoop, platform::Log& aLog, common::Duration aLimit)
+  : loop_(aLoop)
+  , log_(aLog)
+  , deadline_(common::Now() + aLimit)
+{
+}
+
+LogReading::~LogReading() = default;
+
+void LogReading::Start(Done aDone)
+{
+  done_ = std::move(aDone);
+  ReadNext();
+}
+
+void LogReading::ReadNext()
+{
+  log_.Read(kStream,
+            replica_.NextOffset(),
+            common::Duration(0),
+            [this](const platform::ReadResult& aResult) { OnRead(aResult); });
+}
+
+void LogReading::OnRead(const platform::ReadResult& aResult)
+{
+  if (aResult.status_ == platform::LogStatus::kGap) {
+    replica_.OnGap(aResult.first_);
+  }
+  for (const platform::Record& record : aResult.records_) {
+    const common::Offset previous(replica_.NextOffset().Get() - 1);
+    std::vector<config::Evaluated> evaluated =
+      replica_.OnRecord(previous, { record.offset_, record.data_ });
+    std::move(evaluated.begin(), evaluated.end(), std::back_inserter(records_));
+  }
+  const bool isOk = aResult.status_ == platform::LogStatus::kOk;
+  if (isOk && replica_.NextOffset() >= aResult.next_) {
+    return done_(!replica_.HasGap());
+  }
+  if (common::Now() >= deadline_) {
+    return done_(false);
+  }
+  const bool isServing = isOk || aResult.status_ == platform::LogStatus::kGap;
+  pause_ = loop_.After(isServing ? common::Duration(0) : kRetryDelay, [this] { ReadNext(); });
+}
+
+} // namespace dandelionstand::operators
--- /dev/null
+++ b/src/dandelionstand/operators/LogReading.h
@@ -0,0 +1,54 @@
+#ifndef dandelionstand_operators_LogReading_h
+#define dandelionstand_operators_LogReading_h
+
+#include "dandelionstand/common/Time.h"
+#include "dandelionstand/config/Replica.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace dandelionstand::common {
+class EventLoop;
+class Watch;
+} // namespace dandelionstand::common
+
+namespace dandelionstand::platform {
+class Log;
+struct ReadResult;
+} // namespace dandelionstand::platform
+
+namespace dandelionstand::operators {
+
+//! Reads the configuration stream once, up to its present end.
+class LogReading
+{
+public:
+  //! Called once with whether the end was reached before the time limit.
+  using Done = std::function<void(bool aIsComplete)>;
+
+  LogReading(common::EventLoop& aLoop, platform::Log& aLog, common::Duration aLimit);
+  ~LogReading();
+
+  void Start(Done aDone);
+
+  const config::Replica& Reached() const { return replica_; }
+  //! Every record that was evaluated, in order.
+  const std::vector<config::Evaluated>& Records() const { return records_; }
+
+private:
+  void ReadNext();
+  void OnRead(const platform::ReadResult& aResult);
+
+  common::EventLoop& loop_;
+  platform::Log& log_;
+  common::TimePoint deadline_;
+  config::Replica replica_;
+  std::vector<config::Evaluated> records_;
+  std::unique_ptr<common::Watch> pause_;
+  Done done_;
+};
+
+} // namespace dandelionstand::operators
+
+#endif // dandelionstand_operators_LogReading_h
--- /dev/null
+++ b/src/dandelionstand/operators/PublishCommand.h
@@ -0,0 +1,30 @@
+#ifndef dandelionstand_operators_PublishCommand_h
+#define dandelionstand_operators_PublishCommand_h
+
+#include "dandelionstand/operators/Command.h"
+#include "dandelionstand/operators/Publisher.h"
+
+namespace dandelionstand::operators {
+
+//! Publishes a document and waits for the verdict, on request until it is in force.
+class PublishCommand : public Command
+{
+public:
+  std::string Name() const override { return "publish"; }
+  std::string Usage() const override;
+  std::string Argument() const override { return "file"; }
+  void AddOptions(Options& aOptions) const override;
+  ExitStatus Run(const Values& aValues, Console& aConsole) override;
+
+private:
+  static PublishRequest RequestFrom(const Values& aValues, Console& aConsole);
+  static PublishOutcome Publish(const Values& aValues, PublishRequest aRequest, Console& aConsole);
+  static bool WaitInForce(const Values& aValues, common::Version aVersion, Console& aConsole);
+};
+
+//! The exit status for a verdict.
+ExitStatus StatusOf(PublishVerdict aVerdict);
+
+} // namespace dandelionstand::operators
+
+#endif // dandelionstand_operators_PublishCommand_h
--- /dev/null
+++ b/src/dandelionstand/operators/PublishTask.cpp
@@ -0,0 +1,69 @@
+#include "dandelionstand/operators/PublishTask.h"
+
+#include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/config/StreamRecord.h"
+
+#include <utility>
+
+namespace dandelionstand::operators {
+
+namespace {
+
+const platform::StreamName kStream(config::kConfigStream);
+
+} // namespace
+
+PublishTask::PublishTask(common::EventLoop& aLoop,
+                         platform::Log& aLog,
+                         PublisherSettings aSettings,
+                         PublishRequest aRequest)
+  : loop_(aLoop)
+  , log_(aLog)
+  , publisher_(aSettings, std::move(aRequest))
+{
+}
+
+PublishTask::~PublishTask() = default;
+
+void PublishTask::Start(Progress aProgress, Done aDone)
+{
+  progress_ = std::move(aProgress);
+  done_ = std::move(aDone);
+  Run(publisher_.Start(common::Now()));
+}
+
+void PublishTask::Run(const PublishAction& aAction)
+{
+  std::visit([this](const auto& aStep) { Do(aStep); }, aAction);
+}
+
+void PublishTask::Do(const ReadLog& aRead)
+{
+  log_.Read(kStream, aRead.from_, aRead.wait_, [this](const platform::ReadResult& aResult) {
+    Run(publisher_.OnRead(common::Now(), aResult));
+  });
+}
+
+void PublishTask::Do(const AppendToLog& aAppend)
+{
+  progress_("append of " + std::to_string(aAppend.data_.size()) + " bytes");
+  log_.Append(kStream, aAppend.data_, [this](const platform::AppendResult& aResult) {
+    if (aResult.status_ != platform::LogStatus::kOk) {
+      progress_("no offset from the log; looking the record up");
+    }
+    Run(publisher_.OnAppend(common::Now(), aResult));
+  });
+}
+
+void PublishTask::Do(const Pause& aPause)
+{
+  progress_("the log does not serve; trying again");
+  pause_ = loop_.After(aPause.delay_, [this] { Run(publisher_.OnTimer(common::Now())); });
+}
+
+void PublishTask::Do(const ReportOutcome& aReport)
+{
+  done_(aReport.outcome_);
+}
+
+} // namespace dandelionstand::operators
--- /dev/null
+++ b/src/dandelionstand/operators/Rendering.h
@@ -0,0 +1,28 @@
+#ifndef dandelionstand_operators_Rendering_h
+#define dandelionstand_operators_Rendering_h
+
+#include "dandelionstand/config/Replica.h"
+#include "dandelionstand/operators/FleetStatus.h"
+#include "dandelionstand/operators/Publisher.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <vector>
+
+namespace dandelionstand::operators {
+
+//! Output for people: whole lines, each ended.
+std::string ToText(const std::vector<config::Change>& aChanges);
+std::string ToText(const PublishOutcome& aOutcome);
+std::string ToText(const config::Evaluated& aRecord);
+
+//! Output for programs; docs/operators/publishing.md describes the keys.
+nlohmann::json ToJson(const common::Findings& aFindings);
+nlohmann::json ToJson(const std::vector<config::Change>& aChanges);
+nlohmann::json ToJson(const PublishOutcome& aOutcome);
+nlohmann::json ToJson(const config::Evaluated& aRecord);
+
+} // namespace dandelionstand::operators
+
+#endif // dandelionstand_operators_Rendering_h
