--- a/src/dandelionstand/operators/Command.h
+++ b/src/dandelionstand/operators/Command.h
@@ -8,6 +8,7 @@
 #include <boost/program_options.hpp>
 
 #include <iosfwd>
+#include <stdexcept>
 #include <string>
 
 namespace dandelionstand::operators {
--- a/src/dandelionstand/operators/CommandLine.cpp
+++ b/src/dandelionstand/operators/CommandLine.cpp
@@ -50,8 +50,8 @@
     positional.add(aCommand.Argument().c_str(), 1);
   }
   options::variables_map values;
-  options::store(
-    options::command_line_parser(aArguments).options(all).positional(positional).run(), values);
+  options::store(options::command_line_parser(aArguments).options(all).positional(positional).run(),
+                 values);
   return values;
 }
 
--- a/src/dandelionstand/operators/DaemonCommands.cpp
+++ b/src/dandelionstand/operators/DaemonCommands.cpp
@@ -19,9 +19,8 @@
 void AddDaemonOption(Command::Options& aOptions)
 {
   namespace options = boost::program_options;
-  aOptions.add_options()("daemon",
-                         options::value<std::string>()->value_name("ADDRESS"),
-                         "admin address of a daemon");
+  aOptions.add_options()(
+    "daemon", options::value<std::string>()->value_name("ADDRESS"), "admin address of a daemon");
 }
 
 AdminClient ClientFor(const Command::Values& aValues)
--- a/src/dandelionstand/operators/PublishCommand.cpp
+++ b/src/dandelionstand/operators/PublishCommand.cpp
@@ -62,9 +62,10 @@
 {
   namespace options = boost::program_options;
   AddLogOptions(aOptions);
-  aOptions.add_options()("operator",
-                         options::value<std::string>()->default_value("operator")->value_name("NAME"),
-                         "who publishes, for the history")(
+  aOptions.add_options()(
+    "operator",
+    options::value<std::string>()->default_value("operator")->value_name("NAME"),
+    "who publishes, for the history")(
     "base",
     options::value<std::uint64_t>()->value_name("VERSION"),
     "version that the document was derived from; changes of others since then are kept")(
@@ -110,8 +111,8 @@
 {
   PublishRequest request;
   request.wanted_ = ReadDocument(Required(aValues, "file"), aConsole);
-  request.id_ = config::PublishId(aValues.contains("id") ? aValues["id"].as<std::string>()
-                                                         : NewPublishId());
+  request.id_ =
+    config::PublishId(aValues.contains("id") ? aValues["id"].as<std::string>() : NewPublishId());
   request.operator_ = aValues["operator"].as<std::string>();
   request.publishedAtMs_ = common::WallClockMs();
   if (aValues.contains("base")) {
@@ -129,19 +130,16 @@
   settings.deadline_ = TimeoutOf(aValues);
   PublishTask task(access.loop_, access.log_, settings, std::move(aRequest));
   PublishOutcome outcome;
-  task.Start(
-    [&aConsole](const std::string& aStep) { aConsole.err_ << aStep << std::endl; },
-    [&](const PublishOutcome& aOutcome) {
-      outcome = aOutcome;
-      access.loop_.Stop();
-    });
+  task.Start([&aConsole](const std::string& aStep) { aConsole.err_ << aStep << std::endl; },
+             [&](const PublishOutcome& aOutcome) {
+               outcome = aOutcome;
+               access.loop_.Stop();
+             });
   access.loop_.Run();
   return outcome;
 }
 
-bool PublishCommand::WaitInForce(const Values& aValues,
-                                 common::Version aVersion,
-                                 Console& aConsole)
+bool PublishCommand::WaitInForce(const Values& aValues, common::Version aVersion, Console& aConsole)
 {
   const auto limit = std::chrono::seconds(aValues["wait-in-force"].as<std::uint32_t>());
   const common::TimePoint deadline = common::Now() + limit;
--- a/src/dandelionstand/operators/Rendering.cpp
+++ b/src/dandelionstand/operators/Rendering.cpp
@@ -119,8 +119,7 @@
 std::string ToText(const config::Evaluated& aRecord)
 {
   const config::PublishRecord& record = aRecord.result_.record_;
-  std::string text =
-    std::to_string(aRecord.offset_.Get()) + " " + NameOf(aRecord.result_.outcome_);
+  std::string text = std::to_string(aRecord.offset_.Get()) + " " + NameOf(aRecord.result_.outcome_);
   if (!record.publishId_.Get().empty()) {
     text += " id " + record.publishId_.Get() + " by " + record.operator_ + "\n";
     text += ToText(record.changes_);
