--- a/src/dandelionstand/operators/Rendering.cpp
+++ b/src/dandelionstand/operators/Rendering.cpp
@@ -97,7 +97,7 @@
     case PublishVerdict::kAccepted:
       return "accepted as version " + version + "\n" + ToText(aOutcome.changes_);
     case PublishVerdict::kNoChange:
-      return "no change: version " + version + " holds the document already\n";
+      return "nothing to change; the newest version is " + version + "\n";
     case PublishVerdict::kLostRace: {
       std::string text = "refused: another publish changed these resources first\n";
       for (const config::Conflict& conflict : aOutcome.conflicts_) {
