--- /dev/null
+++ b/tests/operators/RacingProcessesTests.cpp
@@ -0,0 +1,149 @@
+#include "tests/support/Fleet.h"
+#include "tests/support/Process.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+
+using namespace dandelionstand::tests;
+using nlohmann::json;
+
+namespace {
+
+const ExitResult kAccepted{ 0, 0 };
+const ExitResult kLostRace{ 4, 0 };
+
+json BaseDocument()
+{
+  return { { "limits", { { "shared", json::object() }, { "other", json::object() } } },
+           { "endpoints", { { "shop", { { "limits", "shared" } } } } },
+           { "routes",
+             { { "browse",
+                 { { "path_prefix", "/shop" },
+                   { "methods", { "GET" } },
+                   { "endpoints", "shop" },
+                   { "idempotency", "idempotent" } } } } } };
+}
+
+FleetOptions TwoDaemons()
+{
+  return { .regions_ = MakeRegions(2, 1, 1, {}), .isProxied_ = false, .hasTargets_ = false };
+}
+
+//! Operators that publish at one time, each a process of its own.
+class Operators
+{
+public:
+  Operators(const Fleet& aFleet, std::uint64_t aBase)
+    : fleet_(aFleet)
+    , base_(aBase)
+  {
+  }
+
+  void Start(const std::string& aId, const json& aDocument)
+  {
+    const std::string file = fleet_.Folder().Write(aId + ".json", aDocument.dump());
+    processes_.push_back(
+      std::make_unique<Process>("dandelionctl",
+                                std::vector<std::string>{ "publish",
+                                                          file,
+                                                          "--log",
+                                                          fleet_.LogAddress().Get(),
+                                                          "--base",
+                                                          std::to_string(base_),
+                                                          "--id",
+                                                          aId },
+                                fleet_.Folder().Path() / (aId + ".log")));
+  }
+
+  std::size_t CountEnds(const ExitResult& aResult)
+  {
+    std::size_t count = 0;
+    for (const auto& process : processes_) {
+      count += process->Wait() == aResult ? 1 : 0;
+    }
+    return count;
+  }
+
+  //! Operators whose append had no answer.
+  std::size_t CountLostAnswers() const
+  {
+    return std::count_if(processes_.begin(), processes_.end(), [](const auto& aProcess) {
+      return aProcess->Log().find("looking the record up") != std::string::npos;
+    });
+  }
+
+private:
+  const Fleet& fleet_;
+  std::uint64_t base_;
+  std::vector<std::unique_ptr<Process>> processes_;
+};
+
+std::size_t CountAccepted(const Fleet& aFleet, const std::string& aIdStart)
+{
+  const RunResult history = aFleet.Control("history", { "--json" });
+  std::size_t count = 0;
+  const json parsed = json::parse(history.output_);
+  for (const json& record : parsed["records"]) {
+    const bool isOwn = record["id"].get<std::string>().starts_with(aIdStart);
+    count += isOwn && record["outcome"] == "accepted" ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_CASE("Of operators that race for one resource while answers are lost exactly one wins",
+          "[operators][integration]")
+{
+  Fleet fleet(TwoDaemons());
+  fleet.Start();
+  json document = BaseDocument();
+  std::uint64_t version = fleet.Publish(document);
+  for (const std::size_t count : { 2, 5 }) {
+    fleet.ControlLog({ { "lose_answers", 2 }, { "lose_answers_stream", "config" } });
+    const std::string round = "round" + std::to_string(count) + "-";
+    Operators operators(fleet, version);
+    for (std::size_t index = 0; index < count; ++index) {
+      document["limits"]["shared"]["slots"] = 10 * count + index;
+      operators.Start(round + std::to_string(index), document);
+    }
+    REQUIRE(operators.CountEnds(kAccepted) == 1);
+    CHECK(operators.CountEnds(kLostRace) == count - 1);
+    CHECK(operators.CountLostAnswers() >= 1);
+    CHECK(CountAccepted(fleet, round) == 1);
+    fleet.ControlLog({ { "lose_answers", 0 } });
+    version = fleet.NextOffset("config") - 1;
+    document["limits"]["other"]["slots"] = count;
+    version = fleet.Publish(document);
+    CHECK(fleet.WaitForVersion(version));
+  }
+}
+
+TEST_CASE("Operators that change different resources all win and a repeated publish adds nothing",
+          "[operators][integration]")
+{
+  Fleet fleet(TwoDaemons());
+  fleet.Start();
+  const std::uint64_t base = fleet.Publish(BaseDocument());
+  fleet.ControlLog({ { "lose_answers", 1 }, { "lose_answers_stream", "config" } });
+  Operators operators(fleet, base);
+  json documents[] = { BaseDocument(), BaseDocument(), BaseDocument() };
+  documents[0]["limits"]["shared"]["slots"] = 3;
+  documents[1]["limits"]["other"]["slots"] = 4;
+  documents[2]["routes"]["browse"]["timeout_ms"] = 700;
+  for (std::size_t index = 0; index < 3; ++index) {
+    operators.Start("own-" + std::to_string(index), documents[index]);
+  }
+  CHECK(operators.CountEnds(kAccepted) == 3);
+  CHECK(operators.CountLostAnswers() == 1);
+  CHECK(CountAccepted(fleet, "own-") == 3);
+  const std::uint64_t next = fleet.NextOffset("config");
+  CHECK(fleet.WaitForVersion(next - 1));
+
+  Operators again(fleet, base);
+  again.Start("own-1", documents[1]);
+  CHECK(again.CountEnds(kAccepted) == 1);
+  CHECK(fleet.NextOffset("config") == next);
+}
