--- /dev/null
+++ b/tests/standins/LogTests.cpp
@@ -0,0 +1,114 @@
+#include "standins/log/LogStore.h"
+#include "tests/support/Net.h"
+#include "tests/support/Process.h"
+#include "tests/support/TempDir.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+
+using namespace dandelionstand;
+using namespace dandelionstand::tests;
+using namespace std::chrono_literals;
+using common::Offset;
+using common::TimePoint;
+using standins::LogStore;
+
+namespace {
+
+constexpr std::size_t kAll = 1'000'000;
+const std::string kRecords = "/v1/streams/config/records";
+
+//! The log service as a process.
+struct Bench
+{
+  Bench()
+    : process_("standin-log", { "--listen", "127.0.0.1:0" }, folder_.Path() / "log")
+    , address_(process_.WaitForField("listening", "address"))
+  {
+  }
+
+  void Control(const nlohmann::json& aControl) const { PostJson(address_, "/control", aControl); }
+
+  TempDir folder_;
+  Process process_;
+  common::Address address_;
+};
+
+} // namespace
+
+TEST_CASE("Retention drops the oldest records and keeps the offsets of the others",
+          "[standins][log]")
+{
+  LogStore store;
+  const TimePoint start(10s);
+  SECTION("by count")
+  {
+    store.SetRetention({ .records_ = 2, .age_ = {} });
+    for (const char* record : { "one", "two", "three" }) {
+      store.Append("s", record, start);
+    }
+  }
+  SECTION("by age")
+  {
+    store.SetRetention({ .records_ = 0, .age_ = 1s });
+    store.Append("s", "one", start);
+    store.Append("s", "two", start + 500ms);
+    store.Append("s", "three", start + 600ms);
+    store.Expire(start + 1s);
+    REQUIRE(store.First("s") == Offset(1));
+    store.Expire(start + 1001ms);
+  }
+  CHECK(store.First("s") == Offset(2));
+  CHECK(store.Next("s") == Offset(4));
+  CHECK(store.Append("s", "four", start + 1s) == Offset(4));
+}
+
+TEST_CASE("Streams have offsets of their own", "[standins][log]")
+{
+  LogStore store;
+  CHECK(store.Append("a", "x", {}) == Offset(1));
+  CHECK(store.Append("b", "x", {}) == Offset(1));
+  CHECK(store.Append("a", "y", {}) == Offset(2));
+  CHECK(store.ReadFrames("b", Offset(2), kAll).empty());
+}
+
+TEST_CASE("Requests and bytes are counted by client and stream", "[standins][log]")
+{
+  const Bench bench;
+  HttpPost(bench.address_, kRecords, "12345", { .sourceIp_ = "127.7.0.1" });
+  HttpGet(bench.address_, kRecords + "?from=1", { .sourceIp_ = "127.8.0.1" });
+  const nlohmann::json counts = GetJson(bench.address_, "/counts");
+  REQUIRE(counts.size() == 2);
+  CHECK(counts[0]["client"] == "127.7.0.1");
+  CHECK(counts[0]["stream"] == "config");
+  CHECK(counts[0]["appends"] == 1);
+  CHECK(counts[0]["append_bytes"] == 5);
+  CHECK(counts[1]["client"] == "127.8.0.1");
+  CHECK(counts[1]["reads"] == 1);
+  CHECK(counts[1]["read_bytes"] == 12 + 5);
+}
+
+TEST_CASE("A control request with a fault changes nothing", "[standins][log]")
+{
+  const Bench bench;
+  for (const char* text : { "no JSON",
+                            "[]",
+                            R"({"outage":"refuse","colour":1})",
+                            R"({"outage":"maybe"})",
+                            R"({"outage":"refuse","delay_ms":"long"})" }) {
+    CHECK(HttpPost(bench.address_, "/control", text).status_ == 400);
+  }
+  CHECK(HttpGet(bench.address_, kRecords).status_ == 200);
+  CHECK(HttpGet(bench.address_, "/v1/streams//records").status_ == 404);
+  CHECK(HttpGet(bench.address_, "/v1/streams/a/b/records").status_ == 404);
+}
+
+TEST_CASE("An answer is lost only in the stream that is named", "[standins][log]")
+{
+  const Bench bench;
+  bench.Control({ { "lose_answers", 1 }, { "lose_answers_stream", "config" } });
+  CHECK(HttpPost(bench.address_, "/v1/streams/members/records", "x").status_ == 200);
+  CHECK(HttpPost(bench.address_, kRecords, "x").status_ == 0);
+  CHECK(HttpPost(bench.address_, kRecords, "y").Json()["offset"] == 2);
+}
