Test that the fault proxy refuses a list of rules whole

Cause: the test of that name only started the proxy without its settings and never sent a rule. It is replaced by one that sends a valid cut beside a faulty rule and sees that nothing is cut; the start without settings has its own test. Not seen failing with the mechanism broken.

--- a/tests/standins/FaultProxyTests.cpp
+++ b/tests/standins/FaultProxyTests.cpp
@@ -39,20 +39,22 @@
     proxy_ = std::make_unique<Process>("standin-fault-proxy",
                                        std::vector<std::string>{ "--settings", file },
                                        folder_.Path() / "proxy.log");
-    const common::Address control(proxy_->WaitForField("listening", "address"));
+    control_ = common::Address(proxy_->WaitForField("listening", "address"));
     borders_ = std::make_unique<Borders>(
-      control, std::map<std::string, unsigned>{ { "a", 201 }, { "b", 202 } });
+      control_, std::map<std::string, unsigned>{ { "a", 201 }, { "b", 202 } });
   }
 
   TcpStream Connect() const { return TcpStream(front_, kClientIp); }
   const Borders& GetBorders() const { return *borders_; }
   TcpListener& Server() { return server_; }
+  const common::Address& Control() const { return control_; }
 
 private:
   TempDir folder_;
   TcpListener server_;
   common::Address front_;
   std::unique_ptr<Process> proxy_;
+  common::Address control_;
   std::unique_ptr<Borders> borders_;
 };
 
@@ -185,7 +187,24 @@
   }
 }
 
-TEST_CASE("A rule that is not understood is refused whole", "[standins][proxy]")
+TEST_CASE("A list of rules with a fault is refused whole", "[standins][proxy]")
+{
+  Bench bench;
+  const std::string cut = R"({"from":201,"to":202,"cut":true})";
+  for (const std::string fault : { R"({"from":201,"to":202,"colour":1})",
+                                   R"({"from":201,"to":202,"cut":"yes"})",
+                                   R"([])",
+                                   R"(7)" }) {
+    CHECK(HttpPost(bench.Control(), "/control", "[" + cut + "," + fault + "]").status_ == 400);
+  }
+  CHECK(HttpPost(bench.Control(), "/control", cut).status_ == 400);
+  TcpStream client = bench.Connect();
+  auto server = bench.Server().Accept(kDeadline);
+  REQUIRE(server);
+  CHECK(Passes(client, *server));
+}
+
+TEST_CASE("The fault proxy does not start without its settings", "[standins][proxy]")
 {
   const RunResult missing = RunToEnd("standin-fault-proxy", { "--settings", "/no/such/file" });
   CHECK(missing.exit_ == ExitResult{ 1, 0 });
