--- a/src/dandelionstand/operators/Command.cpp
+++ b/src/dandelionstand/operators/Command.cpp
@@ -1,5 +1,6 @@
 #include "dandelionstand/operators/Command.h"
 
+#include "dandelionstand/common/HttpServer.h"
 #include "dandelionstand/config/Document.h"
 
 #include <fstream>
@@ -41,6 +42,16 @@
   return aValues[aOption].as<std::string>();
 }
 
+common::Address RequiredAddress(const Command::Values& aValues, const std::string& aOption)
+{
+  const std::string text = Required(aValues, aOption);
+  common::HostAndPort ignored;
+  if (!common::ParseAddress(text, ignored)) {
+    throw UsageError("--" + aOption + " must be an IP number and a port, like 127.0.0.1:7000");
+  }
+  return common::Address(text);
+}
+
 config::ConfigState ReadDocument(const std::string& aPath, Console& aConsole)
 {
   common::Findings findings;
--- a/src/dandelionstand/operators/Command.h
+++ b/src/dandelionstand/operators/Command.h
@@ -2,6 +2,7 @@
 #define dandelionstand_operators_Command_h
 
 #include "dandelionstand/common/Findings.h"
+#include "dandelionstand/common/Ids.h"
 #include "dandelionstand/config/ConfigState.h"
 #include "dandelionstand/operators/ExitStatus.h"
 
@@ -50,6 +51,9 @@
 //! The value of an option that has to be given. Throws UsageError without it.
 std::string Required(const Command::Values& aValues, const std::string& aOption);
 
+//! The value of an option that has to be an IP number and a port. Throws UsageError if it is not.
+common::Address RequiredAddress(const Command::Values& aValues, const std::string& aOption);
+
 //! Reads and parses the document at a path ("-" is the standard input). Throws FindingsError.
 config::ConfigState ReadDocument(const std::string& aPath, Console& aConsole);
 
--- a/src/dandelionstand/operators/DaemonCommands.cpp
+++ b/src/dandelionstand/operators/DaemonCommands.cpp
@@ -25,7 +25,7 @@
 
 AdminClient ClientFor(const Command::Values& aValues)
 {
-  return { common::Address(Required(aValues, "daemon")), kTimeout };
+  return { RequiredAddress(aValues, "daemon"), kTimeout };
 }
 
 ExitStatus ReportError(Console& aConsole, const std::string& aError)
--- a/src/dandelionstand/operators/LogAccess.cpp
+++ b/src/dandelionstand/operators/LogAccess.cpp
@@ -25,7 +25,7 @@
 }
 
 LogAccess::LogAccess(const Command::Values& aValues)
-  : log_(loop_, { .address_ = common::Address(Required(aValues, "log")) }, counters_)
+  : log_(loop_, { .address_ = RequiredAddress(aValues, "log") }, counters_)
 {
 }
 
--- a/src/dandelionstand/operators/PublishCommand.cpp
+++ b/src/dandelionstand/operators/PublishCommand.cpp
@@ -84,7 +84,7 @@
 {
   const bool mustWait = aValues.contains("wait-in-force");
   if (mustWait) {
-    Required(aValues, "daemon");
+    RequiredAddress(aValues, "daemon");
   }
   PublishRequest request = RequestFrom(aValues, aConsole);
   const std::string id = request.id_.Get();
@@ -143,7 +143,7 @@
 {
   const auto limit = std::chrono::seconds(aValues["wait-in-force"].as<std::uint32_t>());
   const common::TimePoint deadline = common::Now() + limit;
-  AdminClient client(common::Address(Required(aValues, "daemon")), kStatusTimeout);
+  AdminClient client(RequiredAddress(aValues, "daemon"), kStatusTimeout);
   std::string shown;
   while (true) {
     const std::optional<std::string> answer = client.Get("/status");
--- /dev/null
+++ b/tests/operators/CommandLineTests.cpp
@@ -0,0 +1,185 @@
+#include "dandelionstand/operators/CommandLine.h"
+
+#include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/common/HttpServer.h"
+
+#include "standins/log/LogServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <memory>
+#include <sstream>
+#include <thread>
+
+using namespace dandelionstand;
+using namespace dandelionstand::operators;
+
+namespace {
+
+const std::string kDocument = R"({"limits": {"shop": {"slots": 3}}})";
+const std::string kLagging =
+  R"({"version": 1, "failure_domains": {"a": {"members": 2, "in_force": {"0": 1, "1": 1},
+      "lagging": ["a-1"]}}})";
+const std::string kInForce =
+  R"({"version": 1, "failure_domains": {"a": {"members": 2, "in_force": {"1": 2}, "lagging": []}}})";
+
+//! A log service and the admin address of a daemon, on a thread of their own. The daemon's status
+//! is kLagging for a number of requests, then kInForce.
+class Surroundings
+{
+public:
+  explicit Surroundings(int aLaggingAnswers)
+    : log_(loop_, common::Address("127.0.0.1:0"))
+    , admin_(loop_, common::Address("127.0.0.1:0"))
+    , laggingAnswers_(aLaggingAnswers)
+  {
+    admin_.Handle("/status", [this](evhttp_request* aRequest) {
+      const bool isLagging = laggingAnswers_-- > 0;
+      common::SendReply(aRequest, 200, "application/json", isLagging ? kLagging : kInForce);
+    });
+    admin_.Handle("/log-level", [](evhttp_request* aRequest) {
+      common::SendReply(aRequest, 200, "application/json", common::BodyOf(aRequest));
+    });
+    // The loop belongs to its thread, so that it looks for the end itself.
+    watch_ = loop_.Every(std::chrono::milliseconds(5), [this] {
+      if (isEnding_) {
+        loop_.Stop();
+      }
+    });
+    thread_ = std::thread([this] { loop_.Run(); });
+  }
+
+  ~Surroundings()
+  {
+    isEnding_ = true;
+    thread_.join();
+  }
+
+  std::string Log() const { return log_.ListeningAddress().Get(); }
+  std::string Daemon() const { return admin_.BoundAddress().Get(); }
+
+private:
+  common::EventLoop loop_;
+  standins::LogServer log_;
+  common::HttpServer admin_;
+  int laggingAnswers_;
+  std::atomic<bool> isEnding_ = false;
+  std::unique_ptr<common::Watch> watch_;
+  std::thread thread_;
+};
+
+struct ToolResult
+{
+  ExitStatus status_;
+  std::string out_;
+  std::string err_;
+};
+
+ToolResult RunTool(const std::vector<std::string>& aArguments, const std::string& aInput = "")
+{
+  std::istringstream in(aInput);
+  std::ostringstream out;
+  std::ostringstream err;
+  Console console{ in, out, err };
+  const ExitStatus status = RunCommandLine(aArguments, console);
+  return { status, out.str(), err.str() };
+}
+
+} // namespace
+
+TEST_CASE("Errors of the command line end as usage errors", "[operators][tool]")
+{
+  const std::vector<std::vector<std::string>> wrong = {
+    {},
+    { "fly" },
+    { "publish", "-" },
+    { "validate" },
+    { "validate", "/no/such/file" },
+    { "status" },
+    { "status", "--daemon", "nowhere" },
+    { "history", "--log", "127.0.0.1" },
+    { "status", "--daemon", "127.0.0.1:1", "--unknown" },
+    { "log-level", "loud", "--daemon", "127.0.0.1:1" },
+    { "publish", "-", "--log", "127.0.0.1:1", "--wait-in-force", "1" },
+  };
+  for (const auto& arguments : wrong) {
+    const ToolResult result = RunTool(arguments, kDocument);
+    CHECK(result.status_ == ExitStatus::kUsage);
+    CHECK(result.out_ == "");
+    CHECK(result.err_ != "");
+  }
+}
+
+TEST_CASE("Findings are printed for people or for programs", "[operators][tool]")
+{
+  const std::string bad = R"({"endpoints": {"shop": {"limits": "none"}}})";
+  const ToolResult people = RunTool({ "validate", "-" }, bad);
+  CHECK(people.status_ == ExitStatus::kInvalid);
+  CHECK(people.err_ == "standard input:1: endpoints.shop.limits: no limits named 'none'\n");
+  const ToolResult programs = RunTool({ "validate", "-", "--json" }, bad);
+  CHECK(programs.status_ == ExitStatus::kInvalid);
+  CHECK(nlohmann::json::parse(programs.out_)["findings"][0]["path"] == "endpoints.shop.limits");
+  CHECK(RunTool({ "validate", "-" }, kDocument).status_ == ExitStatus::kOk);
+}
+
+TEST_CASE("A publish waits until its version is in force and shows progress", "[operators][tool]")
+{
+  Surroundings surroundings(2);
+  const ToolResult result = RunTool({ "publish",
+                                      "-",
+                                      "--log",
+                                      surroundings.Log(),
+                                      "--daemon",
+                                      surroundings.Daemon(),
+                                      "--wait-in-force",
+                                      "60",
+                                      "--json" },
+                                    kDocument);
+  CHECK(result.status_ == ExitStatus::kOk);
+  const nlohmann::json printed = nlohmann::json::parse(result.out_);
+  CHECK(printed["verdict"] == "accepted");
+  CHECK(printed["in_force"] == true);
+  CHECK(result.err_.find("in force on 1 of 2 members\nin force on all of 2 members\n") !=
+        std::string::npos);
+
+  SECTION("and diff and history tell of it")
+  {
+    CHECK(RunTool({ "diff", "-", "--log", surroundings.Log() }, kDocument).status_ ==
+          ExitStatus::kOk);
+    CHECK(RunTool({ "diff", "-", "--log", surroundings.Log() }, "{}").status_ ==
+          ExitStatus::kDiffers);
+    const ToolResult history = RunTool({ "history", "--log", surroundings.Log(), "--json" });
+    CHECK(nlohmann::json::parse(history.out_)["records"].size() == 1);
+  }
+}
+
+TEST_CASE("A publish that is not in force everywhere in time has a status of its own",
+          "[operators][tool]")
+{
+  Surroundings surroundings(1'000'000);
+  const ToolResult result = RunTool({ "publish",
+                                      "-",
+                                      "--log",
+                                      surroundings.Log(),
+                                      "--daemon",
+                                      surroundings.Daemon(),
+                                      "--wait-in-force",
+                                      "0" },
+                                    kDocument);
+  CHECK(result.status_ == ExitStatus::kNotInForce);
+  CHECK(result.out_.starts_with("accepted as version 1\n"));
+}
+
+TEST_CASE("Status and log level come from the daemon", "[operators][tool]")
+{
+  Surroundings surroundings(1);
+  const ToolResult status = RunTool({ "status", "--daemon", surroundings.Daemon() });
+  CHECK(status.status_ == ExitStatus::kOk);
+  CHECK(status.out_.find("  lagging: a-1\n") != std::string::npos);
+  CHECK(RunTool({ "log-level", "debug", "--daemon", surroundings.Daemon() }).out_ ==
+        "log level debug\n");
+  CHECK(RunTool({ "dump", "--daemon", surroundings.Daemon() }).status_ == ExitStatus::kUnavailable);
+}
