--- a/src/dandelionstand/config/Validate.cpp
+++ b/src/dandelionstand/config/Validate.cpp
@@ -8,7 +8,36 @@
 namespace {
 
 //! Keeps a state, and so its snapshot, within what one record of the log holds.
-constexpr std::size_t kMaxResources = 4'000;
+constexpr std::size_t kMaxStateBytes = 900'000;
+//! Bytes of a resource or tombstone in a snapshot, without its texts.
+constexpr std::size_t kMaxFixedBytes = 240;
+constexpr std::size_t kTombstoneBytes = 32;
+//! A letter of a path may take two bytes in JSON.
+constexpr std::size_t kBytesPerLetter = 2;
+
+std::size_t TextBytes(const ResourceValue& aValue)
+{
+  if (const auto* endpoints = std::get_if<Endpoints>(&aValue)) {
+    return endpoints->limits_.Get().size();
+  }
+  if (const auto* route = std::get_if<Route>(&aValue)) {
+    return kBytesPerLetter * route->pathPrefix_.size() + route->endpoints_.Get().size();
+  }
+  return 0;
+}
+
+//! Not less than the bytes of the state in a snapshot before compression.
+std::size_t BytesBound(const ConfigState& aState)
+{
+  std::size_t bytes = 0;
+  for (const Resource& resource : aState.Resources()) {
+    bytes += kMaxFixedBytes + resource.key_.name_.size() + TextBytes(resource.value_);
+  }
+  for (const auto& [key, version] : aState.deleted_) {
+    bytes += kTombstoneBytes + key.name_.size();
+  }
+  return bytes;
+}
 
 class Validator
 {
@@ -96,11 +125,10 @@
 
   void CheckSize()
   {
-    const std::size_t count =
-      state_.limits_.size() + state_.endpoints_.size() + state_.routes_.size();
-    if (count > kMaxResources) {
+    if (BytesBound(state_) > kMaxStateBytes) {
       findings_.Add({ placeOf_({ ResourceKind::kLimits, "" }, "").source_, 0, "" },
-                    "holds more than " + std::to_string(kMaxResources) + " resources");
+                    "makes the configuration, with the deletions that are remembered, too large "
+                    "for a snapshot");
     }
   }
 
--- a/tests/config/StateTests.cpp
+++ b/tests/config/StateTests.cpp
@@ -2,12 +2,15 @@
 #include "dandelionstand/config/Delta.h"
 #include "dandelionstand/config/Snapshot.h"
 #include "dandelionstand/config/StreamRecord.h"
+#include "dandelionstand/config/Validate.h"
 
 #include "ConfigFixtures.h"
 #include "LogScript.h"
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 using namespace dandelionstand::common;
 using namespace dandelionstand::config;
 using namespace dandelionstand::tests;
@@ -63,6 +66,43 @@
   }
 }
 
+TEST_CASE("Every state that is valid fits into a snapshot, however badly it packs",
+          "[config][snapshot]")
+{
+  constexpr std::uint64_t kBatch = 50;
+  std::mt19937_64 random(5);
+  const auto letters = [&random](std::size_t aCount, char aFirst, int aRange) {
+    std::string text;
+    while (text.size() < aCount) {
+      text += static_cast<char>(aFirst + static_cast<int>(random() % aRange));
+    }
+    return text;
+  };
+  ConfigState state = ShopState();
+  ConfigState valid;
+  std::uint64_t added = 0;
+  for (Findings findings; findings.IsEmpty(); ++added) {
+    if (added % kBatch == 0) {
+      Validate(state, PlacesIn("test"), findings);
+      valid = findings.IsEmpty() ? state : valid;
+    }
+    if (added % 2 == 0) {
+      Route route = LostRoute();
+      route.endpoints_ = ServiceName("shop");
+      route.pathPrefix_ = "/" + letters(255, '$', 30);
+      route.methods_ = { "DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT" };
+      route.idempotency_ = Idempotency::kIdempotent;
+      route.timeout_ = std::chrono::hours(1);
+      state.routes_[RouteName(letters(64, 'A', 26))] = { route, Version(~0ULL >> 1) };
+    } else {
+      state.deleted_[{ ResourceKind::kRoute, letters(64, 'a', 26) }] = Version(~0ULL >> 1);
+    }
+  }
+  valid.version_ = Version(~0ULL >> 1);
+  CHECK(added > 1'000);
+  CHECK(EncodeSnapshot(valid, Offset(~0ULL)).size() <= kMaxRecordBytes);
+}
+
 TEST_CASE("A delta holds only the last value of each resource", "[config][delta]")
 {
   const ConfigStatePtr base = Publish({}, 1, ShopRecord());
