--- a/src/dandelionstand/config/Snapshot.cpp
+++ b/src/dandelionstand/config/Snapshot.cpp
@@ -6,6 +6,7 @@
 #include "dandelionstand/config/WireResource.h"
 #include "dandelionstand/config/generated/records.pb.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace dandelionstand::config {
@@ -46,6 +47,18 @@
   return state;
 }
 
+bool HasLaterParts(const ConfigState& aState)
+{
+  const std::vector<Resource> resources = aState.Resources();
+  return std::any_of(
+           resources.begin(),
+           resources.end(),
+           [&aState](const Resource& aResource) { return aResource.version_ > aState.version_; }) ||
+         std::any_of(aState.deleted_.begin(),
+                     aState.deleted_.end(),
+                     [&aState](const auto& aDeleted) { return aDeleted.second > aState.version_; });
+}
+
 } // namespace
 
 std::string EncodeSnapshot(const ConfigState& aState, common::Offset aThrough)
@@ -88,6 +101,9 @@
   if (HashOf(*state).Get() != message.hash()) {
     return refuse("has another hash than its content");
   }
+  if (HasLaterParts(*state)) {
+    return refuse("has parts that are newer than its version");
+  }
   if (message.through() < state->version_.Get()) {
     return refuse("ends before its own version");
   }
--- a/tests/config/StateTests.cpp
+++ b/tests/config/StateTests.cpp
@@ -66,6 +66,22 @@
   }
 }
 
+TEST_CASE("A snapshot with parts above its version is refused", "[config][snapshot]")
+{
+  ConfigState state = *Publish({}, 1, ShopRecord());
+  SECTION("a resource")
+  {
+    state.limits_.at(LimitsName("shop")).version_ = Version(2);
+  }
+  SECTION("a tombstone")
+  {
+    state.deleted_[{ ResourceKind::kRoute, "gone" }] = Version(2);
+  }
+  Findings findings;
+  CHECK_FALSE(DecodeSnapshotRecord(EncodeSnapshot(state, Offset(9)), "peer", findings));
+  CHECK(findings.ToString() == "peer: has parts that are newer than its version\n");
+}
+
 TEST_CASE("Every state that is valid fits into a snapshot, however badly it packs",
           "[config][snapshot]")
 {
