Prove the configuration's invariants with real processes

Cause: the invariants were tested on pure decisions alone. Three programs with fleets of real daemons behind the fault proxy: never back, whole states, retention, racing operators, leaving targets, and in force within 5 s after deaths, cuts, a log that is slow or away, and connections that went silent. Ruled out on the way: a hold on announcements after a leaving; the failure that it was to mend came from a dangling reference in the test itself.

--- /dev/null
+++ b/tests/integration/ConfigurationFixture.cpp
@@ -0,0 +1,283 @@
+#include "tests/integration/ConfigurationFixture.h"
+
+#include "dandelionstand/config/Acceptance.h"
+#include "dandelionstand/config/Document.h"
+#include "dandelionstand/config/Publish.h"
+#include "tests/support/Net.h"
+#include "tests/support/Wait.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace dandelionstand::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kSampleInterval = 20ms;
+constexpr std::chrono::milliseconds kAppendTimeout = 1s;
+constexpr std::size_t kFrameBytes = 12; //!< Offset (8 bytes) and length (4 bytes).
+constexpr int kStatusOk = 200;
+
+std::uint64_t BigEndian(const std::string& aBytes)
+{
+  std::uint64_t value = 0;
+  for (const char byte : aBytes) {
+    value = value << 8U | static_cast<unsigned char>(byte);
+  }
+  return value;
+}
+
+} // namespace
+
+FleetOptions ConfigurationFleet(std::size_t aPerDomain, const std::string& aProfile)
+{
+  FleetOptions options;
+  options.regions_ = MakeRegions(3, 2, aPerDomain, {});
+  options.hasTargets_ = false;
+  options.adjustSettings_ = [aProfile](const InstanceOptions&, json& aSettings) {
+    aSettings["profile"] = aProfile;
+  };
+  return options;
+}
+
+json MarkedDocument(const std::vector<int>& aServices, std::uint64_t aMark)
+{
+  json document = { { "limits", json::object() },
+                    { "endpoints", json::object() },
+                    { "routes", json::object() } };
+  for (const int service : aServices) {
+    const std::string number = std::to_string(service);
+    document["limits"]["l" + number] = { { "slots", 18 },
+                                         { "connections", 110 },
+                                         { "queue_length", 36 },
+                                         { "retry_budget_percent", 10 } };
+    document["endpoints"]["s" + number] = { { "limits", "l" + number } };
+    document["routes"]["r" + number] = { { "path_prefix", "/s" + number + "/" },
+                                         { "methods", { "GET" } },
+                                         { "endpoints", "s" + number },
+                                         { "idempotency", "idempotent" },
+                                         { "class", "browse" },
+                                         { "timeout_ms", aMark },
+                                         { "attempts", 3 } };
+  }
+  return document;
+}
+
+Publisher::Publisher(Fleet& aFleet, std::string aName)
+  : fleet_(aFleet)
+  , name_(std::move(aName))
+  , state_(std::make_shared<const config::ConfigState>())
+{
+}
+
+std::uint64_t Publisher::Publish(const json& aDocument)
+{
+  common::Findings findings;
+  const config::ConfigState next = config::ParseDocument(aDocument.dump(), "document", findings);
+  if (!findings.IsEmpty()) {
+    throw std::runtime_error(findings.ToString());
+  }
+  return Append(config::ChangesBetween(*state_, next));
+}
+
+std::uint64_t Publisher::PublishBroken()
+{
+  std::vector<config::Change> changes;
+  for (const config::Resource& resource : state_->Resources()) {
+    if (std::holds_alternative<config::Endpoints>(resource.value_)) {
+      changes.push_back({ resource.key_, resource.version_, std::nullopt });
+    } else if (std::holds_alternative<config::Limits>(resource.value_)) {
+      config::Limits limits = std::get<config::Limits>(resource.value_);
+      limits.slots_ = kBrokenSlots;
+      changes.push_back({ resource.key_, resource.version_, limits });
+    }
+  }
+  return Append(std::move(changes));
+}
+
+std::uint64_t Publisher::Append(std::vector<config::Change> aChanges)
+{
+  config::PublishRecord record;
+  record.publishId_ = config::PublishId(name_ + "-" + std::to_string(++count_));
+  record.operator_ = name_;
+  record.builtOn_ = state_->version_;
+  record.changes_ = std::move(aChanges);
+  return Append(config::EncodePublishRecord(record));
+}
+
+std::uint64_t Publisher::Append(const std::string& aRecord)
+{
+  last_ = aRecord;
+  const HttpReply reply = HttpPost(
+    fleet_.LogAddress(), "/v1/streams/config/records", aRecord, { .timeout_ = kAppendTimeout });
+  if (reply.status_ != kStatusOk) {
+    return 0;
+  }
+  const auto offset = reply.Json().at("offset").get<std::uint64_t>();
+  const config::AcceptResult result = config::Accept(*state_, common::Offset(offset), aRecord);
+  if (result.next_) {
+    state_ = result.next_;
+  }
+  return offset;
+}
+
+json Publisher::Document() const
+{
+  return json::parse(config::WriteDocument(*state_));
+}
+
+void Publisher::Refresh()
+{
+  state_ = FoldLog(fleet_).state_;
+}
+
+Folded FoldLog(const Fleet& aFleet)
+{
+  Folded folded{ std::make_shared<const config::ConfigState>(), {} };
+  const HttpReply reply = HttpGet(aFleet.LogAddress(), "/v1/streams/config/records?from=1");
+  for (std::size_t place = 0; place + kFrameBytes <= reply.body_.size();) {
+    const std::uint64_t offset = BigEndian(reply.body_.substr(place, 8));
+    const std::uint64_t length = BigEndian(reply.body_.substr(place + 8, 4));
+    const config::AcceptResult result = config::Accept(
+      *folded.state_, common::Offset(offset), reply.body_.substr(place + kFrameBytes, length));
+    if (result.next_) {
+      folded.state_ = result.next_;
+      ++folded.acceptedById_[result.record_.publishId_.Get()];
+    }
+    place += kFrameBytes + length;
+  }
+  return folded;
+}
+
+VersionWatch::VersionWatch(Fleet& aFleet)
+  : fleet_(aFleet)
+  , thread_([this] { Run(); })
+{
+}
+
+VersionWatch::~VersionWatch()
+{
+  Stop();
+}
+
+std::vector<std::string> VersionWatch::Stop()
+{
+  isStopping_ = true;
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+  return faults_;
+}
+
+void VersionWatch::Run()
+{
+  while (!isStopping_) {
+    for (const FleetInstance& instance : fleet_) {
+      Sample(instance);
+    }
+    std::this_thread::sleep_for(kSampleInterval);
+  }
+}
+
+void VersionWatch::Sample(const FleetInstance& aInstance)
+{
+  const HttpReply reply = HttpGet(aInstance.Addresses().admin_, "/dump", { .timeout_ = 200ms });
+  if (reply.status_ != kStatusOk) {
+    return;
+  }
+  ++samples_;
+  const json config = reply.Json().at("config");
+  const auto version = config.at("version").get<std::uint64_t>();
+  if (!config.contains("document")) {
+    return; // It does not serve.
+  }
+  std::uint64_t& highest = highest_[aInstance.Name()];
+  if (version < highest) {
+    faults_.push_back(aInstance.Name() + " went back from " + std::to_string(highest) + " to " +
+                      std::to_string(version));
+  }
+  highest = std::max(highest, version);
+  CheckWhole(aInstance.Name(), config);
+}
+
+void VersionWatch::CheckWhole(const std::string& aInstance, const json& aConfig)
+{
+  const json& document = aConfig.at("document");
+  const json& services = document.at("endpoints");
+  const json& limits = document.at("limits");
+  std::uint64_t mark = 0;
+  for (const auto& [name, route] : document.at("routes").items()) {
+    const auto service = route.at("endpoints").get<std::string>();
+    const auto timeout = route.at("timeout_ms").get<std::uint64_t>();
+    const bool isClosed = services.contains(service) &&
+                          limits.contains(services.at(service).at("limits").get<std::string>());
+    if (!isClosed) {
+      faults_.push_back(aInstance + ": route " + name + " refers to what is missing");
+    }
+    if (mark != 0 && timeout != mark) {
+      faults_.push_back(aInstance + ": mixes marks " + std::to_string(mark) + " and " +
+                        std::to_string(timeout));
+    }
+    mark = timeout;
+  }
+  for (const auto& [name, value] : limits.items()) {
+    if (value.at("slots").get<std::uint32_t>() == kBrokenSlots) {
+      faults_.push_back(aInstance + ": has part of a refused record in " + name);
+    }
+  }
+}
+
+std::vector<FleetInstance*> Running(Fleet& aFleet)
+{
+  std::vector<FleetInstance*> running;
+  for (FleetInstance& instance : aFleet) {
+    if (instance.IsRunning()) {
+      running.push_back(&instance);
+    }
+  }
+  return running;
+}
+
+bool InForceOn(const std::vector<FleetInstance*>& aInstances,
+               std::uint64_t aVersion,
+               std::chrono::milliseconds aWithin)
+{
+  return WaitUntil(
+    [&] {
+      return std::all_of(aInstances.begin(), aInstances.end(), [&](const FleetInstance* aInstance) {
+        return aInstance->Version() >= aVersion;
+      });
+    },
+    aWithin);
+}
+
+bool IsReader(const FleetInstance& aInstance)
+{
+  const json status = aInstance.Status();
+  return !status.is_null() && status.value("reads_log", false);
+}
+
+FleetInstance& ReaderOf(Fleet& aFleet, const std::string& aRegion)
+{
+  FleetInstance* reader = nullptr;
+  const bool isFound = WaitUntil([&] {
+    int readers = 0;
+    for (FleetInstance* instance : aFleet.InRegion(aRegion)) {
+      if (instance->IsRunning() && IsReader(*instance)) {
+        reader = instance;
+        ++readers;
+      }
+    }
+    return readers == 1;
+  });
+  if (!isFound) {
+    throw std::runtime_error("no single reader in region " + aRegion);
+  }
+  return *reader;
+}
+
+} // namespace dandelionstand::tests
