--- /dev/null
+++ b/tests/peer/VersionFloorTests.cpp
@@ -0,0 +1,44 @@
+#include "dandelionstand/peer/VersionFloor.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand;
+using namespace std::chrono_literals;
+using common::Offset;
+using peer::ServeReason;
+
+TEST_CASE("A restarted daemon serves only at or above all that it may have had", "[floor]")
+{
+  const common::TimePoint start(10s);
+  peer::VersionFloor floor(start);
+  CHECK(floor.Decide(Offset(9), start + 1h).reason_ == ServeReason::kNoLogNorPeers);
+
+  SECTION("The log's tail is enough")
+  {
+    floor.OnOwnTail(Offset(5));
+    CHECK(floor.Decide(Offset(4), start).reason_ == ServeReason::kBehindTail);
+    CHECK(floor.Decide(Offset(5), start).mayServe_);
+    CHECK(floor.Decide(Offset(0), start).mayServe_);
+  }
+  SECTION("A tail that a peer saw before the start does not count")
+  {
+    floor.OnPeerTail(Offset(3), start);
+    CHECK_FALSE(floor.Decide(Offset(3), start + 1h).mayServe_);
+    floor.OnPeerTail(Offset(5), start + 1s);
+    CHECK_FALSE(floor.Decide(Offset(4), start + 1h).mayServe_);
+  }
+  SECTION("A remembered floor holds although the log's tail is lower")
+  {
+    floor.OnFloor(Offset(7));
+    floor.OnOwnTail(Offset(5));
+    CHECK(floor.Decide(Offset(5), start).reason_ == ServeReason::kBehindPeers);
+    CHECK(floor.Decide(Offset(7), start).mayServe_);
+  }
+  SECTION("Without the log a peer that serves decides, after a grace")
+  {
+    floor.OnServingPeer(Offset(6), Offset(2));
+    CHECK_FALSE(floor.Decide(Offset(5), start + 1h).mayServe_);
+    CHECK_FALSE(floor.Decide(Offset(6), start + 1s).mayServe_);
+    CHECK(floor.Decide(Offset(6), start + 3s).reason_ == ServeReason::kAtPeers);
+  }
+}
