--- a/src/dandelionstand/load/CallsExperiment.h
+++ b/src/dandelionstand/load/CallsExperiment.h
@@ -13,7 +13,7 @@
 struct CallsPlan
 {
   TopologyShape shape_;
-  std::vector<double> callsPerSecond_ = { 200, 1000, 3000, 6000 };
+  std::vector<double> callsPerSecond_ = { 328, 1000, 3000, 10'000 };
   std::vector<double> ordersPerSecond_ = { 20 };
   common::Duration stepLength_ = std::chrono::seconds(4);
   std::uint32_t repeats_ = 3;
--- a/src/dandelionstand/load/CapacityExperiment.cpp
+++ b/src/dandelionstand/load/CapacityExperiment.cpp
@@ -5,6 +5,7 @@
 
 #include <exception>
 #include <memory>
+#include <utility>
 
 namespace dandelionstand::load {
 
@@ -22,7 +23,6 @@
 constexpr double kTargetRestarts = 10; // 240 a day
 constexpr double kTargetCalls = 230'000 / kTargetDaemons;
 constexpr double kTargetOrders = kTargetCalls / 100;
-constexpr Duration kShortWindow = std::chrono::seconds(2);
 
 void SetDaemons(CapacityPoint& aPoint, double aValue)
 {
@@ -114,14 +114,6 @@
   return RatesBetween(before, aBench.GetFleet().Sample());
 }
 
-BenchSettings SettingsOf(const CapacityPoint& aPoint, const BenchSettings& aSettings)
-{
-  BenchSettings settings = aSettings;
-  settings.routesPerService_ = aPoint.routesPerService_;
-  settings.hasTargets_ = aPoint.callsPerSecond_ + aPoint.ordersPerSecond_ > 0;
-  return settings;
-}
-
 } // namespace
 
 CapacityPlan MakeCapacityPlan(const TopologyShape& aShape, bool aIsShort)
@@ -132,55 +124,110 @@
   const double domains = aShape.failureDomains_;
   const double services = aShape.services_;
   if (aIsShort) {
-    plan.window_ = kShortWindow;
     plan.sweeps_ = {
-      { "daemons", daemons, kTargetDaemons, true, { 6, 24 }, &SetDaemons },
-      { "services", services, kTargetServices, true, { 3, 79 }, &SetServices },
+      { "daemons", daemons, kTargetDaemons, true, { daemons, 2 * daemons }, &SetDaemons },
+      { "services", services, kTargetServices, true, { services, 79 }, &SetServices },
       { "changes/h", 0, kTargetChanges, true, { 0, 7200 }, &SetChanges },
       { "calls/s a daemon", 0, kTargetCalls, false, { 0, 20 }, &SetCalls },
     };
     return plan;
   }
   plan.sweeps_ = {
-    { "daemons", daemons, kTargetDaemons, true, { 6, 18, 48, 96 }, &SetDaemons },
-    { "failure domains", domains, kTargetDomains, true, { 3, 6, 10 }, &SetFailureDomains },
-    { "services", services, kTargetServices, true, { 3, 30, 79 }, &SetServices },
-    { "routes a service", 2, kTargetRoutes, true, { 2, 50, 200 }, &SetRoutes },
+    { "daemons", daemons, kTargetDaemons, true, { daemons, 24, 48, 120 }, &SetDaemons },
+    { "failure domains", domains, kTargetDomains, true, { 3, domains, 10 }, &SetFailureDomains },
+    { "services", services, kTargetServices, true, { services, 79 }, &SetServices },
+    { "routes a service", 2, kTargetRoutes, true, { 2, 100 }, &SetRoutes },
     { "changes/h", 0, kTargetChanges, true, { 0, 3600, 14'400 }, &SetChanges },
-    { "restarts/h", 0, kTargetRestarts, true, { 0, 900, 1800 }, &SetRestarts },
+    { "restarts/h", 0, kTargetRestarts, true, { 0, 1800 }, &SetRestarts },
     { "calls/s a daemon", 0, kTargetCalls, false, { 0, 20, 100 }, &SetCalls },
     { "orders/s a daemon", 0, kTargetOrders, false, { 0, 0.5, 1.6 }, &SetOrders },
   };
   return plan;
 }
 
+namespace {
+
+//! Measures the points of a plan one after the other; the base point only once.
+class CapacityRun
+{
+public:
+  CapacityRun(common::EventLoop& aLoop,
+              const CapacityPlan& aPlan,
+              BenchSettings aSettings,
+              ProgressSink aProgress)
+    : loop_(aLoop)
+    , plan_(aPlan)
+    , settings_(std::move(aSettings))
+    , progress_(std::move(aProgress))
+  {
+  }
+
+  std::vector<CapacitySample> Run()
+  {
+    base_ = Measure(plan_.base_, "base");
+    for (const CapacitySweep& sweep : plan_.sweeps_) {
+      for (const double value : sweep.values_) {
+        AddPoint(sweep, value);
+      }
+    }
+    return samples_;
+  }
+
+private:
+  void AddPoint(const CapacitySweep& aSweep, double aValue)
+  {
+    if (aValue == aSweep.base_) {
+      AddSamples(aSweep, aValue, base_);
+      return;
+    }
+    CapacityPoint point = plan_.base_;
+    aSweep.apply_(point, aValue);
+    const std::string name = aSweep.variable_ + " = " + FormatNumber(aValue, 1);
+    AddSamples(aSweep, aValue, Measure(point, name));
+  }
+
+  std::vector<FleetRates> Measure(const CapacityPoint& aPoint, const std::string& aName)
+  {
+    progress_(aName);
+    BenchSettings settings = settings_;
+    settings.routesPerService_ = aPoint.routesPerService_;
+    settings.folder_ += "/point-" + std::to_string(++number_);
+    std::vector<FleetRates> rates;
+    try {
+      Bench bench(loop_, aPoint.shape_, settings);
+      for (std::uint32_t repeat = 0; repeat < plan_.repeats_; ++repeat) {
+        rates.push_back(MeasurePoint(loop_, bench, aPoint, plan_.window_));
+      }
+    } catch (const std::exception& error) {
+      progress_("not measured: " + aName + ": " + error.what());
+    }
+    return rates;
+  }
+
+  void AddSamples(const CapacitySweep& aSweep, double aValue, const std::vector<FleetRates>& aRates)
+  {
+    for (const FleetRates& rates : aRates) {
+      AddMetrics(aSweep.variable_, aValue, rates, samples_);
+    }
+  }
+
+  common::EventLoop& loop_;
+  const CapacityPlan& plan_;
+  BenchSettings settings_;
+  ProgressSink progress_;
+  std::vector<FleetRates> base_;
+  std::vector<CapacitySample> samples_;
+  std::size_t number_ = 0;
+};
+
+} // namespace
+
 std::vector<CapacitySample> RunCapacity(common::EventLoop& aLoop,
                                         const CapacityPlan& aPlan,
                                         const BenchSettings& aSettings,
                                         const ProgressSink& aProgress)
 {
-  std::vector<CapacitySample> samples;
-  std::size_t number = 0;
-  for (const CapacitySweep& sweep : aPlan.sweeps_) {
-    for (const double value : sweep.values_) {
-      CapacityPoint point = aPlan.base_;
-      sweep.apply_(point, value);
-      const std::string name = sweep.variable_ + " = " + FormatNumber(value, 0);
-      BenchSettings settings = SettingsOf(point, aSettings);
-      settings.folder_ += "/point-" + std::to_string(++number);
-      aProgress(name);
-      try {
-        Bench bench(aLoop, point.shape_, settings);
-        for (std::uint32_t repeat = 0; repeat < aPlan.repeats_; ++repeat) {
-          const FleetRates rates = MeasurePoint(aLoop, bench, point, aPlan.window_);
-          AddMetrics(sweep.variable_, value, rates, samples);
-        }
-      } catch (const std::exception& error) {
-        aProgress("not measured: " + name + ": " + error.what());
-      }
-    }
-  }
-  return samples;
+  return CapacityRun(aLoop, aPlan, aSettings, aProgress).Run();
 }
 
 } // namespace dandelionstand::load
--- a/src/dandelionstand/load/CapacityExperiment.h
+++ b/src/dandelionstand/load/CapacityExperiment.h
@@ -38,7 +38,7 @@
 {
   CapacityPoint base_;
   std::vector<CapacitySweep> sweeps_;
-  common::Duration window_ = std::chrono::seconds(4);
+  common::Duration window_ = std::chrono::seconds(2);
   std::uint32_t repeats_ = 2;
 };
 
