Take bytes by border from the daemons in the scale experiment

Seen in a trial: with 120 daemons the proxy ran out of descriptors (a link needs two there), so its counts were 0. The daemons' own counters by border need no proxy.

--- a/src/dandelionstand/load/Bench.cpp
+++ b/src/dandelionstand/load/Bench.cpp
@@ -13,7 +13,6 @@
 
 constexpr Duration kStartLimit = std::chrono::seconds(30);
 constexpr Duration kStopLimit = std::chrono::seconds(10);
-constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
 constexpr std::uint64_t kAppendLimit = 400;
 
 FleetSettings MakeFleetSettings(const BenchSettings& aSettings)
@@ -43,7 +42,7 @@
     throw std::runtime_error("the first configuration is not in force everywhere; see " +
                              settings_.folder_);
   }
-  RunFor(loop_, kSettleTime);
+  RunFor(loop_, settings_.settle_);
 }
 
 Bench::~Bench()
--- a/src/dandelionstand/load/Bench.h
+++ b/src/dandelionstand/load/Bench.h
@@ -21,6 +21,7 @@
   std::string folder_;
   bool hasTargets_ = true;
   std::uint32_t routesPerService_ = 2;
+  common::Duration settle_ = std::chrono::milliseconds(1500); //!< After the first configuration.
 };
 
 //! How soon published versions were in force.
--- a/src/dandelionstand/load/CapacityExperiment.cpp
+++ b/src/dandelionstand/load/CapacityExperiment.cpp
@@ -15,6 +15,7 @@
 
 constexpr double kSecondsPerHour = 3600;
 constexpr double kPercent = 100;
+constexpr Duration kShortSettle = std::chrono::seconds(3);
 constexpr double kTargetDaemons = 1400;
 constexpr double kTargetDomains = 10;
 constexpr double kTargetServices = 79;
@@ -124,6 +125,8 @@
   const double domains = aShape.failureDomains_;
   const double services = aShape.services_;
   if (aIsShort) {
+    plan.repeats_ = 2;
+    plan.settle_ = kShortSettle;
     plan.sweeps_ = {
       { "daemons", daemons, kTargetDaemons, true, { daemons, 2 * daemons }, &SetDaemons },
       { "services", services, kTargetServices, true, { services, 79 }, &SetServices },
@@ -133,14 +136,14 @@
     return plan;
   }
   plan.sweeps_ = {
-    { "daemons", daemons, kTargetDaemons, true, { daemons, 24, 48, 120 }, &SetDaemons },
-    { "failure domains", domains, kTargetDomains, true, { 3, domains, 10 }, &SetFailureDomains },
+    { "daemons", daemons, kTargetDaemons, true, { daemons, 48, 120 }, &SetDaemons },
+    { "failure domains", domains, kTargetDomains, true, { domains, 10 }, &SetFailureDomains },
     { "services", services, kTargetServices, true, { services, 79 }, &SetServices },
     { "routes a service", 2, kTargetRoutes, true, { 2, 100 }, &SetRoutes },
-    { "changes/h", 0, kTargetChanges, true, { 0, 3600, 14'400 }, &SetChanges },
+    { "changes/h", 0, kTargetChanges, true, { 0, 14'400 }, &SetChanges },
     { "restarts/h", 0, kTargetRestarts, true, { 0, 1800 }, &SetRestarts },
     { "calls/s a daemon", 0, kTargetCalls, false, { 0, 20, 100 }, &SetCalls },
-    { "orders/s a daemon", 0, kTargetOrders, false, { 0, 0.5, 1.6 }, &SetOrders },
+    { "orders/s a daemon", 0, kTargetOrders, false, { 0, 1.6 }, &SetOrders },
   };
   return plan;
 }
@@ -190,6 +193,7 @@
   {
     progress_(aName);
     BenchSettings settings = settings_;
+    settings.settle_ = plan_.settle_;
     settings.routesPerService_ = aPoint.routesPerService_;
     settings.folder_ += "/point-" + std::to_string(++number_);
     std::vector<FleetRates> rates;
--- a/src/dandelionstand/load/CapacityMetrics.cpp
+++ b/src/dandelionstand/load/CapacityMetrics.cpp
@@ -139,8 +139,8 @@
   add("log reads [1/s]", SumOf(aRates, &DaemonRates::readsPerSecond_));
   add("log CPU [% of a core]", aRates.logCpuPercent_);
   add("log memory [MB]", aRates.logResidentMb_);
-  add("between regions [B/s]", aRates.borders_.betweenRegions_);
-  add("between failure domains [B/s]", aRates.borders_.betweenDomains_);
+  add("control between regions [B/s]", SumOf(aRates, &DaemonRates::regionBytesPerSecond_));
+  add("control between failure domains [B/s]", SumOf(aRates, &DaemonRates::domainBytesPerSecond_));
 }
 
 Table MakeSampleTable(const std::vector<CapacitySample>& aSamples)
--- a/src/dandelionstand/load/FleetStats.cpp
+++ b/src/dandelionstand/load/FleetStats.cpp
@@ -26,9 +26,10 @@
   {
   }
 
-  double Of(const std::string& aCounter) const
+  double Of(const std::string& aCounter, const std::string& aLabels = "") const
   {
-    return (later_.metrics_.Sum(aCounter) - earlier_.metrics_.Sum(aCounter)) / seconds_;
+    const double before = earlier_.metrics_.Sum(aCounter, aLabels);
+    return (later_.metrics_.Sum(aCounter, aLabels) - before) / seconds_;
   }
 
 private:
@@ -48,6 +49,10 @@
   rates.messagesPerSecond_ = growth.Of("dandelion_peer_messages_sent_total");
   rates.sentBytesPerSecond_ = growth.Of("dandelion_peer_bytes_sent_total");
   rates.receivedBytesPerSecond_ = growth.Of("dandelion_peer_bytes_received_total");
+  rates.regionBytesPerSecond_ =
+    growth.Of("dandelion_control_bytes_sent_total", "border=\"other_region\"");
+  rates.domainBytesPerSecond_ =
+    growth.Of("dandelion_control_bytes_sent_total", "border=\"same_region\"");
   rates.appendsPerSecond_ = growth.Of("dandelion_log_appends_total");
   rates.readsPerSecond_ = growth.Of("dandelion_log_reads_total");
   return rates;
--- a/src/dandelionstand/load/FleetStats.h
+++ b/src/dandelionstand/load/FleetStats.h
@@ -18,8 +18,10 @@
   double messagesPerSecond_ = 0;  //!< Sent to other daemons.
   double sentBytesPerSecond_ = 0; //!< Sent to other daemons.
   double receivedBytesPerSecond_ = 0;
-  double appendsPerSecond_ = 0; //!< At the log, with any outcome.
-  double readsPerSecond_ = 0;   //!< At the log, with any outcome.
+  double regionBytesPerSecond_ = 0; //!< Control sent to other regions, without framing.
+  double domainBytesPerSecond_ = 0; //!< Control sent to other domains of the region.
+  double appendsPerSecond_ = 0;     //!< At the log, with any outcome.
+  double readsPerSecond_ = 0;       //!< At the log, with any outcome.
 };
 
 //! Bytes over the borders between two samples, by the second; counted by the proxy, so with all
