--- a/programs/dandelion-experiment.cpp
+++ b/programs/dandelion-experiment.cpp
@@ -44,6 +44,7 @@
   std::uint32_t failureDomains_ = 0;
   std::uint32_t repeats_ = 0;
   double windowSeconds_ = 0;
+  double settleSeconds_ = 0;
   bool isShort_ = false;
   bool isUnproxied_ = false;
 };
@@ -144,10 +145,15 @@
   load::TopologyShape shape = MakeShape(aOptions, 12);
   // The proxy would need more descriptors than a process has; the daemons count bytes by border.
   shape.isProxied_ = false;
+  // Links that only joining needed are closed before the first measurement.
+  shape.idleClose_ = std::chrono::seconds(2);
   load::CapacityPlan plan = load::MakeCapacityPlan(shape, aOptions.isShort_);
   if (aOptions.windowSeconds_ > 0) {
     plan.window_ = ToDuration(aOptions.windowSeconds_);
   }
+  if (aOptions.settleSeconds_ > 0) {
+    plan.settle_ = ToDuration(aOptions.settleSeconds_);
+  }
   if (aOptions.repeats_ > 0) {
     plan.repeats_ = aOptions.repeats_;
   }
@@ -191,6 +197,7 @@
   add("daemons", options::value(&aOptions.daemons_), "in the base fleet");
   add("failure-domains", options::value(&aOptions.failureDomains_), "in the base fleet");
   add("window", options::value(&aOptions.windowSeconds_), "seconds of each measurement");
+  add("settle", options::value(&aOptions.settleSeconds_), "seconds before it, for capacity");
   add("repeats", options::value(&aOptions.repeats_), "of each measurement");
   add("spreading",
       options::value(&aOptions.spreadings_)->default_value(aOptions.spreadings_),
--- a/src/dandelionstand/load/CapacityExperiment.cpp
+++ b/src/dandelionstand/load/CapacityExperiment.cpp
@@ -15,7 +15,8 @@
 
 constexpr double kSecondsPerHour = 3600;
 constexpr double kPercent = 100;
-constexpr Duration kShortSettle = std::chrono::seconds(3);
+constexpr Duration kShortWindow = std::chrono::seconds(2);
+constexpr Duration kShortSettle = std::chrono::seconds(4);
 constexpr double kTargetDaemons = 1400;
 constexpr double kTargetDomains = 10;
 constexpr double kTargetServices = 79;
@@ -125,7 +126,7 @@
   const double domains = aShape.failureDomains_;
   const double services = aShape.services_;
   if (aIsShort) {
-    plan.repeats_ = 2;
+    plan.window_ = kShortWindow;
     plan.settle_ = kShortSettle;
     plan.sweeps_ = {
       { "daemons", daemons, kTargetDaemons, true, { daemons, 2 * daemons }, &SetDaemons },
@@ -142,7 +143,7 @@
     { "routes a service", 2, kTargetRoutes, true, { 2, 100 }, &SetRoutes },
     { "changes/h", 0, kTargetChanges, true, { 0, 14'400 }, &SetChanges },
     { "restarts/h", 0, kTargetRestarts, true, { 0, 1800 }, &SetRestarts },
-    { "calls/s a daemon", 0, kTargetCalls, false, { 0, 20, 100 }, &SetCalls },
+    { "calls/s a daemon", 0, kTargetCalls, false, { 0, 50 }, &SetCalls },
     { "orders/s a daemon", 0, kTargetOrders, false, { 0, 1.6 }, &SetOrders },
   };
   return plan;
--- a/src/dandelionstand/load/CapacityExperiment.h
+++ b/src/dandelionstand/load/CapacityExperiment.h
@@ -38,9 +38,9 @@
 {
   CapacityPoint base_;
   std::vector<CapacitySweep> sweeps_;
-  common::Duration window_ = std::chrono::seconds(2);
-  common::Duration settle_ = std::chrono::seconds(5); //!< Joining has ended by then.
-  std::uint32_t repeats_ = 3;
+  common::Duration window_ = std::chrono::seconds(4);
+  common::Duration settle_ = std::chrono::seconds(6); //!< Joining has ended by then.
+  std::uint32_t repeats_ = 2;
 };
 
 //! The sweeps of a full run, or of one that takes under a minute.
--- a/src/dandelionstand/load/Topology.cpp
+++ b/src/dandelionstand/load/Topology.cpp
@@ -150,7 +150,7 @@
 
 std::string MakeDaemonSettings(const Topology& aTopology, const InstancePlan& aInstance)
 {
-  const nlohmann::ordered_json settings = {
+  nlohmann::ordered_json settings = {
     { "instance", aInstance.instance_.Get() },
     { "failure_domain", aInstance.failureDomain_.Get() },
     { "region", aInstance.region_.Get() },
@@ -165,6 +165,11 @@
     { "spreading", aTopology.shape_.spreading_ },
     { "profile", aTopology.shape_.profile_ },
   };
+  if (aTopology.shape_.idleClose_.count() > 0) {
+    const auto idleClose =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aTopology.shape_.idleClose_);
+    settings["peers"]["idle_close_ms"] = idleClose.count();
+  }
   constexpr int kIndent = 2;
   return settings.dump(kIndent) + "\n";
 }
--- a/src/dandelionstand/load/Topology.h
+++ b/src/dandelionstand/load/Topology.h
@@ -2,6 +2,7 @@
 #define dandelionstand_load_Topology_h
 
 #include "dandelionstand/common/Ids.h"
+#include "dandelionstand/common/Time.h"
 
 #include <cstdint>
 #include <string>
@@ -21,7 +22,8 @@
   std::uint8_t run_ = 1;             //!< Third byte of the addresses; tells runs apart.
   std::string spreading_ = "tree";
   std::string profile_ = "time";
-  bool isProxied_ = false; //!< Daemons reach each other and the log through the fault proxy.
+  common::Duration idleClose_{}; //!< Of links between daemons; 0 keeps the daemon's default.
+  bool isProxied_ = false;       //!< Daemons reach each other and the log through the fault proxy.
 };
 
 //! One instance: a daemon and the target beside it.
