--- a/src/dandelionstand/load/CapacityExperiment.cpp
+++ b/src/dandelionstand/load/CapacityExperiment.cpp
@@ -20,7 +20,6 @@
 constexpr double kTargetDaemons = 1400;
 constexpr double kTargetDomains = 10;
 constexpr double kTargetServices = 79;
-constexpr double kTargetRoutes = 10;
 constexpr double kTargetChanges = 200; // 4,800 a day
 constexpr double kTargetRestarts = 10; // 240 a day
 constexpr double kTargetCalls = 230'000 / kTargetDaemons;
@@ -41,11 +40,6 @@
   aPoint.shape_.services_ = static_cast<std::uint32_t>(aValue);
 }
 
-void SetRoutes(CapacityPoint& aPoint, double aValue)
-{
-  aPoint.routesPerService_ = static_cast<std::uint32_t>(aValue);
-}
-
 void SetChanges(CapacityPoint& aPoint, double aValue)
 {
   aPoint.changesPerHour_ = aValue;
@@ -140,7 +134,6 @@
     { "daemons", daemons, kTargetDaemons, true, { daemons, 48, 120 }, &SetDaemons },
     { "failure domains", domains, kTargetDomains, true, { domains, 10 }, &SetFailureDomains },
     { "services", services, kTargetServices, true, { services, 79 }, &SetServices },
-    { "routes a service", 2, kTargetRoutes, true, { 2, 100 }, &SetRoutes },
     { "changes/h", 0, kTargetChanges, true, { 0, 14'400 }, &SetChanges },
     { "restarts/h", 0, kTargetRestarts, true, { 0, 1800 }, &SetRestarts },
     { "calls/s a daemon", 0, kTargetCalls, false, { 0, 50 }, &SetCalls },
@@ -194,7 +187,7 @@
   {
     progress_(aName);
     BenchSettings settings = settings_;
-    settings.settle_ = plan_.settle_;
+    settings.settle_ = plan_.settle_ + aPoint.shape_.daemons_ * plan_.settlePerDaemon_;
     settings.routesPerService_ = aPoint.routesPerService_;
     settings.folder_ += "/point-" + std::to_string(++number_);
     std::vector<FleetRates> rates;
--- a/src/dandelionstand/load/CapacityExperiment.h
+++ b/src/dandelionstand/load/CapacityExperiment.h
@@ -38,8 +38,10 @@
 {
   CapacityPoint base_;
   std::vector<CapacitySweep> sweeps_;
-  common::Duration window_ = std::chrono::seconds(4);
-  common::Duration settle_ = std::chrono::seconds(6); //!< Joining has ended by then.
+  common::Duration window_ = std::chrono::seconds(3);
+  //! Before the first measurement, so that joining has ended: at least, and for each daemon.
+  common::Duration settle_ = std::chrono::seconds(6);
+  common::Duration settlePerDaemon_ = std::chrono::milliseconds(200);
   std::uint32_t repeats_ = 2;
 };
 
--- a/src/dandelionstand/load/CapacityMetrics.cpp
+++ b/src/dandelionstand/load/CapacityMetrics.cpp
@@ -135,8 +135,9 @@
   addAll("daemon sent", "[messages/s]", &DaemonRates::messagesPerSecond_);
   addAll("daemon sent", "[B/s]", &DaemonRates::sentBytesPerSecond_);
   addAll("daemon received", "[B/s]", &DaemonRates::receivedBytesPerSecond_);
-  add("log appends [1/s]", SumOf(aRates, &DaemonRates::appendsPerSecond_));
-  add("log reads [1/s]", SumOf(aRates, &DaemonRates::readsPerSecond_));
+  add("log appends of a daemon [1/s]", MeanOf(aRates, &DaemonRates::appendsPerSecond_));
+  add("log reads of a daemon [1/s]", MeanOf(aRates, &DaemonRates::readsPerSecond_));
+  add("log reads of all [1/s]", SumOf(aRates, &DaemonRates::readsPerSecond_));
   add("log CPU [% of a core]", aRates.logCpuPercent_);
   add("log memory [MB]", aRates.logResidentMb_);
   add("control between regions [B/s]", SumOf(aRates, &DaemonRates::regionBytesPerSecond_));
