--- a/src/dandelionstand/load/CapacityMetrics.cpp
+++ b/src/dandelionstand/load/CapacityMetrics.cpp
@@ -135,12 +135,13 @@
   addAll("daemon sent", "[messages/s]", &DaemonRates::messagesPerSecond_);
   addAll("daemon sent", "[B/s]", &DaemonRates::sentBytesPerSecond_);
   addAll("daemon received", "[B/s]", &DaemonRates::receivedBytesPerSecond_);
-  add("log appends [1/s]", SumOf(aRates, &DaemonRates::appendsPerSecond_));
-  add("log reads [1/s]", SumOf(aRates, &DaemonRates::readsPerSecond_));
+  add("log appends of a daemon [1/s]", MeanOf(aRates, &DaemonRates::appendsPerSecond_));
+  add("log reads of a daemon [1/s]", MeanOf(aRates, &DaemonRates::readsPerSecond_));
+  add("log reads of all [1/s]", SumOf(aRates, &DaemonRates::readsPerSecond_));
   add("log CPU [% of a core]", aRates.logCpuPercent_);
   add("log memory [MB]", aRates.logResidentMb_);
-  add("between regions [B/s]", aRates.borders_.betweenRegions_);
-  add("between failure domains [B/s]", aRates.borders_.betweenDomains_);
+  add("control between regions [B/s]", SumOf(aRates, &DaemonRates::regionBytesPerSecond_));
+  add("control between failure domains [B/s]", SumOf(aRates, &DaemonRates::domainBytesPerSecond_));
 }
 
 Table MakeSampleTable(const std::vector<CapacitySample>& aSamples)
