--- a/src/dandelionstand/caller/Claims.cpp
+++ b/src/dandelionstand/caller/Claims.cpp
@@ -144,7 +144,7 @@
     isSynced_ = false;
     beganAtGap_ = true;
     next_ = aResult.first_;
-  } else if (aResult.next_ < next_) {
+  } else if (aResult.next_ < readFrom_) {
     // The stream is shorter than what was read of it: its records are lost.
     LoseWindow(aWallMs);
     next_ = common::Offset(1);
@@ -259,6 +259,7 @@
   // Before the end is reached, and to settle a lost answer, there is nothing to wait for.
   const bool mayWait = isSynced_ && !isAppendUnsettled_ && !IsLogAway(aNow);
   const common::Duration wait = mayWait ? kFollowWait : common::Duration(0);
+  readFrom_ = next_;
   readUntil_ = aNow + wait + settings_.timeout_;
   aActions.push_back(ReadClaims{ ++readGeneration_, next_, wait });
 }
--- a/src/dandelionstand/caller/Claims.h
+++ b/src/dandelionstand/caller/Claims.h
@@ -190,6 +190,7 @@
   bool beganAtGap_ = false;
   bool isReading_ = false;
   std::uint64_t readGeneration_ = 0;
+  common::Offset readFrom_; //!< Of the read under way.
   common::TimePoint readUntil_;
   std::uint64_t lastReadMs_ = 0;
   //! Set by each failure of the log, cleared by its next answer.
--- a/src/dandelionstand/caller/KeyedOrders.cpp
+++ b/src/dandelionstand/caller/KeyedOrders.cpp
@@ -143,6 +143,9 @@
   } else if (const auto* refused = std::get_if<ClaimRefused>(&aAction)) {
     OrderRecord* order = TakeNumber({ aShard, refused->number_ });
     if (order != nullptr) {
+      common::LogEvent(common::Severity::kWarn,
+                       "order_refused",
+                       { { "reason", refused->reason_ }, { "shard", aShard } });
       EndAsking(*order, RefusedOutcome(kUnavailable, refused->reason_, RunState::kNotRun));
     }
   }
--- /dev/null
+++ b/tests/integration/CallProofsDownloads.cpp
@@ -0,0 +1,102 @@
+#include "CallFleet.h"
+
+#include "tests/support/Wait.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand;
+using namespace dandelionstand::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t kMiB = std::uint64_t{ 1 } << 20;
+constexpr std::uint64_t kFileBytes = 64 * kMiB;
+
+const std::string kFile = "/files/pattern?pattern=1&bytes=" + std::to_string(kFileBytes);
+
+RequestOptions WithIdentity(const std::string& aIdentity)
+{
+  return { .headers_ = { { "Request-Identity", aIdentity } } };
+}
+
+std::future<HttpReply> DownloadLater(const FleetInstance& aInstance, const std::string& aIdentity)
+{
+  return std::async(std::launch::async, [&aInstance, aIdentity] {
+    return aInstance.Get(kFile, WithIdentity(aIdentity));
+  });
+}
+
+//! The instance, other than aFirst, whose target sends the download at present; null if none does.
+FleetInstance* Sender(Fleet& aFleet, const FleetInstance& aFirst)
+{
+  for (FleetInstance& instance : aFleet) {
+    if (&instance == &aFirst || !instance.IsRunning()) {
+      continue;
+    }
+    const HttpReply stats = HttpGet(instance.Addresses().target_, "/stats");
+    if (stats.status_ == 200 && stats.Json()["in_flight"].get<std::uint64_t>() > 0) {
+      return &instance;
+    }
+  }
+  return nullptr;
+}
+
+FleetInstance* WaitForSender(Fleet& aFleet, const FleetInstance& aFirst)
+{
+  FleetInstance* sender = nullptr;
+  WaitUntil([&] {
+    sender = Sender(aFleet, aFirst);
+    return sender != nullptr;
+  });
+  return sender;
+}
+
+} // namespace
+
+TEST_CASE("A download goes on through the death of a target and of a daemon in one file",
+          "[integration][calls][download]")
+{
+  // The daemon that is called has no ready target, so that the file comes from elsewhere.
+  CallFleet calls(1, 4);
+  Fleet& fleet = calls.fleet_;
+  FleetInstance& first = fleet[0];
+  first.ControlTarget({ { "ready", false } });
+  const HttpReply direct = HttpGet(fleet[1].Addresses().target_, kFile, WithIdentity("file"));
+  REQUIRE(direct.body_.size() == kFileBytes);
+  for (FleetInstance& instance : fleet) {
+    instance.ControlTarget({ { "piece_delay_ms", 3 } });
+  }
+  auto download = DownloadLater(first, "file");
+  FleetInstance* sender = WaitForSender(fleet, first);
+  REQUIRE(sender != nullptr);
+  std::this_thread::sleep_for(300ms);
+  sender->KillTarget();
+  sender = WaitForSender(fleet, first);
+  REQUIRE(sender != nullptr);
+  std::this_thread::sleep_for(300ms);
+  sender->Kill();
+  const HttpReply reply = download.get();
+  CHECK(reply.status_ == 200);
+  CHECK(reply.body_.size() == kFileBytes);
+  CHECK((reply.body_ == direct.body_));
+}
+
+TEST_CASE("A download whose content changed ends as a visible error",
+          "[integration][calls][download]")
+{
+  CallFleet calls(1, 2);
+  Fleet& fleet = calls.fleet_;
+  fleet[0].ControlTarget({ { "content_version", 2 }, { "piece_delay_ms", 3 } });
+  fleet[1].ControlTarget({ { "piece_delay_ms", 3 } });
+  auto download = DownloadLater(fleet[0], "changed");
+  std::this_thread::sleep_for(500ms);
+  for (FleetInstance& instance : fleet) {
+    const HttpReply stats = HttpGet(instance.Addresses().target_, "/stats");
+    if (stats.Json()["in_flight"].get<std::uint64_t>() > 0) {
+      instance.KillTarget();
+      break;
+    }
+  }
+  CHECK(download.get().status_ == 0);
+}
