--- a/tests/integration/CallProofsStops.cpp
+++ b/tests/integration/CallProofsStops.cpp
@@ -138,7 +138,7 @@
   CallFleet calls(2, 3);
   Fleet& fleet = calls.fleet_;
   for (FleetInstance& instance : fleet) {
-    instance.ControlTarget({ { "think_ms", 20 } });
+    instance.ControlTarget({ { "think_ms", 100 } });
   }
   // Callers use daemons 0 and 3, which are restarted last, without load on themselves.
   Callers callers(calls, { 0, 3 });
@@ -198,6 +198,8 @@
   REQUIRE(WaitUntil([&] { return callers.answered_ > 100; }));
   const Borders& borders = fleet.GetBorders();
   for (int round = 0; round < 2; ++round) {
+    // These answers break off after the run.
+    fleet[0].ControlTarget({ { "breaks", 10 }, { "break_after_bytes", 10 } });
     borders.Cut(fleet[0].Domain(), fleet[2].Domain());
     std::this_thread::sleep_for(400ms);
     borders.HealAll();
