Keep a download inside its window

Cause: a 64 MB download between three daemons on loopback took 5 attempts, and once hung: the target side put off the pause of reading with each piece that arrived, so the window never held, the router's queue (512 messages) was full, and 109 frames were dropped; a frame that is missing at the end was then waited for as long as the route's time-out, 30 minutes. Ruled out: a lost link (none was replaced) and a slow caller (its socket was empty). After: one pending pause stays; credit is granted up to the window alone, and not once more for frames that were ahead of it; a begun answer that stands still for 5 s is taken for broken. The new test also passes without the change behind the fault proxy, which is slower; the direct run is the evidence.

--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -190,8 +190,13 @@
   if (credit_ == 0) {
     lastProgress_ = aNow;
   }
-  credit_ += aBytes;
-  actions.push_back(GrantCredit{ attempt_, endpoint_, aBytes });
+  // Frames ahead of the credit of an earlier attempt do not widen the window.
+  const std::uint64_t room = kWindowBytes - std::min<std::uint64_t>(kWindowBytes, untaken_);
+  if (room > credit_) {
+    const auto granted = static_cast<std::uint32_t>(room - credit_);
+    credit_ = room;
+    actions.push_back(GrantCredit{ attempt_, endpoint_, granted });
+  }
   return actions;
 }
 
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -27,6 +27,9 @@
 //! Endpoints that a request which must not run twice is offered to, one after the other.
 constexpr std::uint32_t kTriesUntilRun = 3;
 
+//! Longest time without a frame before a begun answer is taken for broken.
+constexpr common::Duration kMostIdle = std::chrono::seconds(5);
+
 constexpr int kAllowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                 EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH;
 
@@ -280,7 +283,7 @@
   plan.idempotency_ = aRoute.idempotency_;
   plan.headDeadline_ =
     now + std::min(aRoute.timeout_, aRequest.timeLeft_.value_or(aRoute.timeout_));
-  plan.idleLimit_ = aRoute.timeout_;
+  plan.idleLimit_ = std::min(aRoute.timeout_, kMostIdle);
   plan.attempts_ = std::max(1U, aRoute.attempts_);
   if (aRoute.idempotency_ != config::Idempotency::kIdempotent) {
     // The route's limit is on attempts that may run; refusals that did not run come on top.
--- a/src/dandelionstand/target/ForwardedCall.cpp
+++ b/src/dandelionstand/target/ForwardedCall.cpp
@@ -241,15 +241,17 @@
 
 void ForwardedCall::ScheduleRead()
 {
-  if (connection_ == nullptr || isOver_) {
+  if (connection_ == nullptr || isOver_ || readLater_) {
     return;
   }
   // evhttp switches reading on again after each piece of a body, so this waits for its return.
+  // One that is pending stays: a body that arrives in each turn of the loop would put it off forever.
   readLater_ = loop_.After(common::Duration(0), [this] { ApplyCredit(); });
 }
 
 void ForwardedCall::ApplyCredit()
 {
+  readLater_.reset();
   if (connection_ == nullptr || isOver_) {
     return;
   }
--- a/tests/integration/CallProofsDownloads.cpp
+++ b/tests/integration/CallProofsDownloads.cpp
@@ -54,6 +54,20 @@
 
 } // namespace
 
+TEST_CASE("A download that nothing disturbs takes one attempt", "[integration][calls][download]")
+{
+  CallFleet calls(1, 2);
+  Fleet& fleet = calls.fleet_;
+  FleetInstance& first = fleet[0];
+  first.ControlTarget({ { "ready", false } });
+  REQUIRE(WaitUntil([&] { return first.Get("/browse").status_ == 200; }));
+  const std::uint64_t before = first.Metric("dandelion_caller_attempts_total");
+  const HttpReply reply = first.Get(kFile, WithIdentity("file"));
+  CHECK(reply.status_ == 200);
+  CHECK(reply.body_.size() == kFileBytes);
+  CHECK(first.Metric("dandelion_caller_attempts_total") == before + 1);
+}
+
 TEST_CASE("A download goes on through the death of a target and of a daemon in one file",
           "[integration][calls][download]")
 {
