--- a/src/dandelionstand/target/ForwardedCall.cpp
+++ b/src/dandelionstand/target/ForwardedCall.cpp
@@ -245,7 +245,8 @@
     return;
   }
   // evhttp switches reading on again after each piece of a body, so this waits for its return.
-  // One that is pending stays: a body that arrives in each turn of the loop would put it off forever.
+  // One that is pending stays: a body that arrives in each turn of the loop would put it off
+  // forever.
   readLater_ = loop_.After(common::Duration(0), [this] { ApplyCredit(); });
 }
 
