--- a/standins/proxy/ProxiedConnection.cpp
+++ b/standins/proxy/ProxiedConnection.cpp
@@ -167,6 +167,10 @@
 void ProxiedConnection::OnEvent(bufferevent* aEvents, short aWhat, void* aSelf)
 {
   auto* self = static_cast<ProxiedConnection*>(aSelf);
+  // A connect that was under way when the connection was frozen still reports its result.
+  if (self->isFrozen_ || self->isClosed_) {
+    return;
+  }
   const bool isClient = aEvents == self->client_.get();
   if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
     self->isConnected_ = true;
