--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -61,6 +61,8 @@
   void StartDrain() { isDraining_ = true; }
   //! Requests whose answer is not yet written whole.
   std::size_t InFlight() const { return exchanges_.size() + orders_.Open(); }
+  //! Keyed orders of this daemon: open ones, and those whose outcome is kept for repeats.
+  const KeyedOrders& Orders() const { return orders_; }
 
 private:
   class Exchange;
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -139,6 +139,20 @@
     return dump;
   });
   admin_.AddDumpSection("links", [this] { return DumpLinks(); });
+  admin_.AddDumpSection("queue", [this] { return DumpQueue(); });
+  admin_.AddDumpSection("claims", [this] {
+    return nlohmann::json{ { "open", callerServer_.Orders().Open() },
+                           { "remembered", callerServer_.Orders().Remembered() } };
+  });
+  admin_.AddDumpSection("roles", [this] {
+    return nlohmann::json{ { "reads_log", spreading_.State().IsReader() } };
+  });
+}
+
+nlohmann::json Daemon::DumpQueue() const
+{
+  const peer::wire::Load load = forwarder_.LoadNow();
+  return { { "running", load.running() }, { "queued", load.queued() }, { "slots", load.slots() } };
 }
 
 void Daemon::OnMembersChanged()
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -47,6 +47,7 @@
   void Finish(ExitStatus aStatus);
   void SetUpAdmin();
   nlohmann::json DumpLinks() const;
+  nlohmann::json DumpQueue() const;
   void OnMembersChanged();
   nlohmann::json DumpMembers() const;
   nlohmann::json Status();
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -50,6 +50,8 @@
   //! Refuses new calls as not run; those in flight go on.
   void StartDrain();
   std::size_t InFlight() const { return calls_.size(); }
+  //! Running and waiting work and the slots, as told on each answer.
+  peer::wire::Load LoadNow() const;
 
 private:
   struct Entry
@@ -68,7 +70,6 @@
   void Refuse(const peer::PeerRef& aTo, const AttemptKey& aKey, std::string_view aReason);
   void RefreshLimits();
   void Tick();
-  peer::wire::Load LoadNow() const;
 
   common::EventLoop& loop_;
   common::Counters& counters_;
