--- a/src/dandelionstand/platform/RecordFrames.cpp
+++ b/src/dandelionstand/platform/RecordFrames.cpp
@@ -1,5 +1,6 @@
 #include "dandelionstand/platform/RecordFrames.h"
 
+#include <limits>
 #include <utility>
 
 namespace dandelionstand::platform {
@@ -75,7 +76,9 @@
   record_.offset_ = common::Offset(ReadBigEndian(head.substr(0, kOffsetBytes)));
   bytesLeft_ = ReadBigEndian(head.substr(kOffsetBytes));
   head_.clear();
-  isMalformed_ = record_.offset_.Get() < leastOffset_;
+  // The greatest number has no successor, so it cannot be an offset either.
+  const std::uint64_t offset = record_.offset_.Get();
+  isMalformed_ = offset < leastOffset_ || offset == std::numeric_limits<std::uint64_t>::max();
   if (isMalformed_) {
     return;
   }
--- a/tests/platform/RecordFramesTests.cpp
+++ b/tests/platform/RecordFramesTests.cpp
@@ -78,3 +78,11 @@
   CHECK_FALSE(reader.IsMalformed());
   CHECK(reader.TakeRecords().size() == 1);
 }
+
+TEST_CASE("An offset without a successor is malformed", "[platform][frames]")
+{
+  FrameReader reader(Offset(1), kMaxRecord, kMaxTotal);
+  CHECK_FALSE(reader.Feed(Frames({ { Offset(~std::uint64_t{ 0 }), "" }, { Offset(2), "two" } })));
+  CHECK(reader.IsMalformed());
+  CHECK(reader.TakeRecords().empty());
+}
