--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -1,6 +1,11 @@
 # One call for each kind of target, so that the lists in the folders stay short.
 
-set(DANDELION_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers -Werror)
+set(DANDELION_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers)
+# A user's compiler may warn where ours does not, so warnings are errors only where asked.
+option(DANDELION_WERROR "Treat warnings as errors" OFF)
+if(DANDELION_WERROR)
+  list(APPEND DANDELION_WARNINGS -Werror)
+endif()
 
 # dandelion_library(<folder name> SOURCES ... LINK ...)
 function(dandelion_library name)
--- a/programs/dandelion-daemon.cpp
+++ b/programs/dandelion-daemon.cpp
@@ -43,7 +43,7 @@
     return ToInt(daemon::ExitStatus::kOk);
   }
   common::StartEventLog(settings.instance_.Get(), settings.logLevel_);
-  return ToInt(daemon::Daemon(settings).Run());
+  return ToInt(daemon::Daemon(settings, aFile).Run());
 }
 
 } // namespace
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build_dir="${BUILD_DIR:-build}"
-cmake -S . -B "$build_dir" -G Ninja >/dev/null
+cmake -S . -B "$build_dir" -G Ninja -DDANDELION_WERROR=ON >/dev/null
 cmake --build "$build_dir" -- ${BUILD_JOBS:+-j "$BUILD_JOBS"}
--- a/scripts/install_dependencies.sh
+++ b/scripts/install_dependencies.sh
@@ -4,7 +4,7 @@
 packages=(
   g++ cmake ninja-build ccache pkg-config python3
   clang clang-format clang-tidy libclang-rt-14-dev
-  libsigc++-2.0-dev libevent-dev libzmq3-dev
+  libsigc++-2.0-dev libevent-dev libhttp-parser-dev libzmq3-dev
   libprotobuf-dev protobuf-compiler
   libboost-dev libboost-program-options-dev liblog4cplus-dev
   catch2 nlohmann-json3-dev libxxhash-dev libzstd-dev
--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -11,11 +11,14 @@
 
 namespace {
 
+constexpr std::uint32_t kFirstServerError = 500;
 constexpr std::uint32_t kBadGateway = 502;
 constexpr std::uint32_t kServiceUnavailable = 503;
 constexpr std::uint32_t kGatewayTimeout = 504;
 
 constexpr std::uint32_t kMostContinuations = 32;
+//! Bytes that a target side may send beyond those that are held back.
+constexpr std::uint64_t kHeldMargin = 64UL * 1024;
 
 //! The target side gives up this much earlier, so that its refusal still arrives.
 constexpr common::Duration kAnswerMargin = std::chrono::milliseconds(30);
@@ -32,6 +35,12 @@
          aReason == "not-sent";
 }
 
+//! Whether the endpoint itself got the request, as far as the failure tells.
+bool HasReachedEndpoint(const AttemptFailed& aFailed)
+{
+  return aFailed.runState_ != RunState::kNotRun || aFailed.reason_ == "target-shed";
+}
+
 common::Duration WithoutMargin(common::Duration aTimeLeft)
 {
   return aTimeLeft - std::min(kAnswerMargin, aTimeLeft / kMarginShare);
@@ -191,7 +200,7 @@
     lastProgress_ = aNow;
   }
   // Frames ahead of the credit of an earlier attempt do not widen the window.
-  const std::uint64_t room = kWindowBytes - std::min<std::uint64_t>(kWindowBytes, untaken_);
+  const std::uint64_t room = Window() - std::min(Window(), untaken_);
   if (room > credit_) {
     const auto granted = static_cast<std::uint32_t>(room - credit_);
     credit_ = room;
@@ -254,7 +263,7 @@
   ++attempt_;
   isRunning_ = true;
   // What an earlier attempt sent and the caller has not taken still fills the window.
-  credit_ = kWindowBytes - std::min<std::uint64_t>(kWindowBytes, untaken_);
+  credit_ = Window() - std::min(Window(), untaken_);
   picker_.Started(endpoint_.instance_, aNow);
 
   SendAttempt send{ attempt_, endpoint_ };
@@ -266,8 +275,9 @@
   } else {
     ++firstTries_;
     const common::Duration left = CallDeadline() - aNow;
-    const bool mayHaveNext =
-      plan_.idempotency_ == Idempotency::kIdempotent && firstTries_ < plan_.attempts_;
+    const bool mayHaveNext = plan_.keepsTimeForRetry_ &&
+                             plan_.idempotency_ == Idempotency::kIdempotent &&
+                             firstTries_ < plan_.attempts_;
     // Half of the time is kept for an attempt elsewhere.
     const common::Duration forAttempt = mayHaveNext ? left / 2 : left;
     attemptDeadline_ = aNow + forAttempt;
@@ -304,13 +314,26 @@
 {
   const bool isSafe =
     aFailed.runState_ == RunState::kNotRun || plan_.idempotency_ == Idempotency::kIdempotent;
-  if (!isSafe || aFailed.deep_ || aNow >= CallDeadline() || firstTries_ >= plan_.attempts_) {
+  const bool hasReached = HasReachedEndpoint(aFailed);
+  reached_ += hasReached ? 1 : 0;
+  if (!isSafe || aFailed.deep_ || aNow >= CallDeadline()) {
     return false;
   }
-  if (!picker_.HasOther(tried_)) {
+  if (firstTries_ >= Tries() || reached_ >= plan_.attempts_ || !picker_.HasOther(tried_)) {
     return false;
   }
-  return IsFreeToRetry(aFailed.reason_) || budget_.Spend(aNow);
+  const bool isFree = IsFreeToRetry(aFailed.reason_) || (!hasReached && !plan_.paysForRefusals_);
+  return isFree || budget_.Spend(aNow);
+}
+
+std::uint32_t CallMachine::Tries() const
+{
+  return std::max(plan_.tries_, plan_.attempts_);
+}
+
+std::uint64_t CallMachine::Window() const
+{
+  return std::max<std::uint64_t>(kWindowBytes, plan_.heldBytes_ + kHeldMargin);
 }
 
 void CallMachine::GiveUp(const AttemptFailed& aFailed, CallActions& aActions)
@@ -351,7 +374,9 @@
 
 bool CallMachine::IsRetriedStatus(const AttemptHead& aHead) const
 {
-  return plan_.idempotency_ == Idempotency::kIdempotent && aHead.status_ == kServiceUnavailable &&
+  const bool isFailure = plan_.retriesServerErrors_ ? aHead.status_ >= kFirstServerError
+                                                    : aHead.status_ == kServiceUnavailable;
+  return plan_.idempotency_ == Idempotency::kIdempotent && isFailure &&
          FindHeader(aHead.headers_, "Dandelion-Deep").empty();
 }
 
@@ -367,7 +392,7 @@
     return;
   }
   held_ += aData;
-  if (held_.size() > kHeldBytes) {
+  if (held_.size() > plan_.heldBytes_) {
     FlushHeld(aActions);
   }
 }
--- a/src/dandelionstand/caller/CallMachine.h
+++ b/src/dandelionstand/caller/CallMachine.h
@@ -22,8 +22,6 @@
 class CallMachine
 {
 public:
-  //! Bytes of an answer that are held back until it is whole.
-  static constexpr std::size_t kHeldBytes = 64UL * 1024;
   //! Bytes that a target side may send ahead of what the caller has taken.
   static constexpr std::uint32_t kWindowBytes = 256 * 1024;
 
@@ -62,6 +60,8 @@
   void EndAttempt(AttemptResult aResult, common::TimePoint aNow);
   void AttemptBroke(const AttemptFailed& aFailed, common::TimePoint aNow, CallActions& aActions);
   bool MayRetry(const AttemptFailed& aFailed, common::TimePoint aNow);
+  std::uint32_t Tries() const;
+  std::uint64_t Window() const;
   void GiveUp(const AttemptFailed& aFailed, CallActions& aActions);
   void ContinueDownload(const AttemptFailed& aFailed,
                         common::TimePoint aNow,
@@ -80,6 +80,7 @@
   std::uint32_t attempt_ = 0;
   std::uint32_t continuations_ = 0;
   std::uint32_t firstTries_ = 0; //!< Attempts that were not continuations.
+  std::uint32_t reached_ = 0;    //!< Attempts that the endpoint itself got.
   bool isRunning_ = false;
   bool done_ = false;
   std::optional<RunState> mayHaveRun_; //!< Set once an attempt ended otherwise than not run.
--- a/src/dandelionstand/caller/CallTypes.cpp
+++ b/src/dandelionstand/caller/CallTypes.cpp
@@ -55,27 +55,6 @@
 
 } // namespace
 
-std::string_view ToText(RunState aState)
-{
-  switch (aState) {
-    case RunState::kNotRun:
-      return "not-run";
-    case RunState::kRun:
-      return "run";
-    case RunState::kUnknown:
-      break;
-  }
-  return "unknown";
-}
-
-std::string_view FindHeader(const Headers& aHeaders, std::string_view aName)
-{
-  const auto found = std::find_if(aHeaders.begin(), aHeaders.end(), [&](const Header& aHeader) {
-    return common::EqualsIgnoringCase(aHeader.name_, aName);
-  });
-  return found == aHeaders.end() ? std::string_view() : std::string_view(found->value_);
-}
-
 std::string ToText(const CallActions& aActions)
 {
   std::string text;
--- a/src/dandelionstand/caller/CallTypes.h
+++ b/src/dandelionstand/caller/CallTypes.h
@@ -5,6 +5,8 @@
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
 #include "dandelionstand/config/Resources.h"
+#include "dandelionstand/dialect/RunState.h"
+#include "dandelionstand/http/Message.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,29 +17,10 @@
 
 namespace dandelionstand::caller {
 
-//! Whether the target ran a request, as far as it is known.
-enum class RunState
-{
-  kUnknown,
-  kNotRun,
-  kRun,
-};
-
-//! The value of the Dandelion-Run header.
-std::string_view ToText(RunState aState);
-
-struct Header
-{
-  std::string name_;
-  std::string value_;
-
-  bool operator==(const Header&) const = default;
-};
-
-using Headers = std::vector<Header>;
-
-//! The first value of a header, without regard to case; empty if it is absent.
-std::string_view FindHeader(const Headers& aHeaders, std::string_view aName);
+using dialect::RunState;
+using http::FindHeader;
+using http::Header;
+using http::Headers;
 
 //! What is known of a call when it begins.
 struct CallPlan
@@ -49,7 +32,18 @@
   std::optional<common::TimePoint> endDeadline_;
   //! A download without any progress for this long is broken off and continued elsewhere.
   common::Duration idleLimit_ = std::chrono::seconds(2);
+  //! Endpoints that the request may reach.
   std::uint32_t attempts_ = 3;
+  //! Tries in all, with those that a daemon refused before the endpoint. 0: as many as attempts_.
+  std::uint32_t tries_ = 0;
+  //! Whether a try after a daemon's refusal takes from the retry budget, as others do.
+  bool paysForRefusals_ = true;
+  //! Whether half of the time is kept for an attempt elsewhere.
+  bool keepsTimeForRetry_ = true;
+  //! Whether a failure that the endpoint answers is tried elsewhere, if it may be repeated.
+  bool retriesServerErrors_ = false;
+  //! Bytes of an answer that are held back until it is whole, so that it can be had elsewhere.
+  std::size_t heldBytes_ = 64UL * 1024;
   //! GET without a Range header of the caller's own.
   bool mayContinue_ = false;
 };
--- a/src/dandelionstand/caller/CallerConnection.h
+++ b/src/dandelionstand/caller/CallerConnection.h
@@ -5,33 +5,29 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
-#include <string>
 
-struct evbuffer_cb_entry;
-struct evhttp_connection;
-struct evhttp_request;
-struct evbuffer;
-struct evbuffer_cb_info;
+namespace dandelionstand::dialect {
+class CallerDialect;
+} // namespace dandelionstand::dialect
 
-namespace dandelionstand::common {
-class EventLoop;
-class Watch;
-} // namespace dandelionstand::common
+namespace dandelionstand::http {
+class ServerExchange;
+} // namespace dandelionstand::http
 
 namespace dandelionstand::caller {
 
-//! One request of a caller and its answer on the caller's HTTP connection.
+//! One request of a caller and its answer, in the caller's dialect.
 class CallerConnection
 {
 public:
   //! Called once: the answer was written whole, or the connection is gone.
-  using Ended = std::function<void(const CallerConnection&)>;
+  using Ended = std::function<void()>;
   using Gone = std::function<void()>;
   using Taken = std::function<void(std::uint32_t aBytes)>;
 
-  CallerConnection(common::EventLoop& aLoop, evhttp_request* aRequest, Ended aEnded);
-  ~CallerConnection();
+  CallerConnection(http::ServerExchange& aExchange,
+                   const dialect::CallerDialect& aDialect,
+                   Ended aEnded);
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
 
@@ -51,26 +47,8 @@
   void Abort();
 
 private:
-  static void OnComplete(evhttp_request* aRequest, void* aSelf);
-  static void OnClosed(evhttp_connection* aConnection, void* aSelf);
-  static void OnOutput(evbuffer* aBuffer, const evbuffer_cb_info* aInfo, void* aSelf);
-
-  void CheckCaller();
-  void ReportTaken(std::size_t aUnsent);
-  void Detach();
-  void End(bool aIsGone);
-
-  common::EventLoop& loop_;
-  evhttp_request* request_; //!< Null once it is over.
-  evhttp_connection* connection_;
-  evbuffer* output_;
-  evbuffer_cb_entry* outputWatch_ = nullptr;
-  std::unique_ptr<common::Watch> callerWatch_;
-  Ended ended_;
-  Gone gone_;
-  Taken taken_;
-  std::uint64_t sentBytes_ = 0;
-  std::uint64_t takenBytes_ = 0;
+  http::ServerExchange* exchange_; //!< Null once it is over.
+  const dialect::CallerDialect& dialect_;
 };
 
 } // namespace dandelionstand::caller
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -1,13 +1,13 @@
 #include "dandelionstand/caller/CallerServer.h"
 
 #include "dandelionstand/caller/CallerConnection.h"
+#include "dandelionstand/caller/RetryAfter.h"
 #include "dandelionstand/common/Counters.h"
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/peer/generated/envelope.pb.h"
 
-#include <event2/http.h>
 #include <sigc++/functors/mem_fun.h>
 
 #include <algorithm>
@@ -30,9 +30,6 @@
 //! Longest time without a frame before a begun answer is taken for broken.
 constexpr common::Duration kMostIdle = std::chrono::seconds(5);
 
-constexpr int kAllowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
-                                EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH;
-
 Refusal NotRun(std::uint32_t aStatus, const std::string& aReason)
 {
   return { aStatus, aReason, RunState::kNotRun, false };
@@ -85,14 +82,14 @@
 class CallerServer::Exchange : public AnswerSink
 {
 public:
-  Exchange(CallerServer& aServer, evhttp_request* aRequest)
+  Exchange(CallerServer& aServer, http::ServerExchange& aExchange)
     : server_(aServer)
-    , connection_(aServer.context_.loop_, aRequest, [this](const CallerConnection&) {
-      server_.EndExchange(*this);
-    })
+    , connection_(aExchange, aServer.dialect_, [this] { server_.EndExchange(*this); })
   {
   }
 
+  void SetId(const std::string& aId) { id_ = aId; }
+
   CallerConnection& Connection() { return connection_; }
 
   void SendHead(std::uint32_t aStatus, const Headers& aHeaders) override
@@ -111,12 +108,23 @@
     server_.CountOutcome(std::string(ToText(aRefusal.runState_)));
     server_.context_.counters_.Add("caller_refusals_total{reason=\"" + aRefusal.reason_ + "\"}");
     connection_.Unwatch();
-    connection_.Refuse(aRefusal);
+    Refusal refusal = aRefusal;
+    if (refusal.runState_ == RunState::kNotRun && refusal.status_ == kUnavailable) {
+      refusal.retryAfter_ = RetryAfter({ refusal.reason_ }, server_.random_);
+    }
+    common::LogEvent(common::Severity::kWarn,
+                     "request_refused",
+                     { { "request", id_ },
+                       { "status", refusal.status_ },
+                       { "reason", refusal.reason_ },
+                       { "run", ToText(refusal.runState_) } });
+    connection_.Refuse(refusal);
   }
   void Abort(const std::string& aReason) override
   {
     server_.CountOutcome("broken-off");
-    common::LogEvent(common::Severity::kWarn, "answer_broken_off", { { "reason", aReason } });
+    common::LogEvent(
+      common::Severity::kWarn, "answer_broken_off", { { "request", id_ }, { "reason", aReason } });
     connection_.Unwatch();
     connection_.Abort();
   }
@@ -124,6 +132,7 @@
 private:
   CallerServer& server_;
   CallerConnection connection_;
+  std::string id_;
 };
 
 CallerServer::CallerServer(common::EventLoop& aLoop,
@@ -131,12 +140,16 @@
                            peer::Transport& aTransport,
                            platform::Log& aLog,
                            const peer::EndpointDirectory& aDirectory,
+                           const dialect::CallerDialect& aDialect,
                            ConfigSource aConfig,
                            const CallerServerSettings& aSettings)
   : context_{ aLoop, aCounters, aTransport }
+  , dialect_(aDialect)
   , config_(std::move(aConfig))
   , settings_(aSettings)
   , policies_(aDirectory, PickerSettingsOf(aSettings), aSettings.seed_)
+  , split_(aSettings.seed_)
+  , random_(aSettings.seed_)
   , orders_(
       aLoop,
       aCounters,
@@ -150,12 +163,17 @@
           call->OnTaken(aBytes);
         }
       })
-  , server_(aLoop, aSettings.listen_)
+  , server_(aLoop,
+            aSettings.listen_,
+            { [this](http::ServerExchange& aExchange) { OnRequest(aExchange); },
+              [this](std::uint32_t aStatus, const std::string& aFault) {
+                context_.counters_.Add("caller_malformed_requests_total");
+                common::LogEvent(common::Severity::kWarn,
+                                 "request_malformed",
+                                 { { "status", aStatus }, { "fault", aFault } });
+              },
+              [this] { return ClientLimits(); } })
 {
-  evhttp_set_max_body_size(server_.Get(), static_cast<ev_ssize_t>(aSettings.maxBodyBytes_));
-  evhttp_set_max_headers_size(server_.Get(), static_cast<ev_ssize_t>(aSettings.maxHeaderBytes_));
-  evhttp_set_allowed_methods(server_.Get(), kAllowedMethods);
-  server_.HandleRest([this](evhttp_request* aRequest) { OnRequest(aRequest); });
   aTransport.Received().connect(sigc::mem_fun(*this, &CallerServer::OnEnvelope));
   aTransport.LinkLost().connect(sigc::mem_fun(*this, &CallerServer::OnLinkLost));
 }
@@ -166,13 +184,30 @@
   exchanges_.clear();
 }
 
-void CallerServer::OnRequest(evhttp_request* aRequest)
+http::Limits CallerServer::ClientLimits() const
+{
+  http::Limits limits;
+  limits.headBytes_ = settings_.maxHeaderBytes_;
+  limits.bodyBytes_ = settings_.maxBodyBytes_;
+  const config::ConfigStatePtr config = config_();
+  if (config && config->clientLimits_) {
+    limits.headBytes_ = config->clientLimits_->headBytes_;
+    limits.bodyBytes_ = config->clientLimits_->bodyBytes_;
+    limits.headTime_ = config->clientLimits_->headTime_;
+    limits.idleTime_ = config->clientLimits_->idleTime_;
+  }
+  return limits;
+}
+
+void CallerServer::OnRequest(http::ServerExchange& aExchange)
 {
   context_.counters_.Add("caller_requests_total");
-  auto exchange = std::make_unique<Exchange>(*this, aRequest);
+  auto exchange = std::make_unique<Exchange>(*this, aExchange);
   Exchange& added = *exchange;
   exchanges_[&added] = std::move(exchange);
-  Dispatch(added, added.Connection().TakeRequest());
+  CallerRequest request = added.Connection().TakeRequest();
+  added.SetId(request.id_);
+  Dispatch(added, std::move(request));
 }
 
 void CallerServer::Dispatch(Exchange& aExchange, CallerRequest aRequest)
@@ -182,7 +217,7 @@
     return;
   }
   if (isDraining_) {
-    aExchange.Refuse(NotRun(kUnavailable, "draining"));
+    aExchange.Refuse(NotRun(kUnavailable, "daemon-draining"));
     return;
   }
   const config::ConfigStatePtr config = config_();
@@ -190,7 +225,7 @@
     aExchange.Refuse(NotRun(kUnavailable, "no-configuration"));
     return;
   }
-  const auto* route = config->Match(aRequest.method_, aRequest.path_);
+  const auto* route = config->Match(aRequest.host_, aRequest.method_, aRequest.path_);
   if (route == nullptr) {
     aExchange.Refuse(NotRun(kNotFound, "no-route"));
     return;
@@ -199,7 +234,9 @@
     aExchange.Refuse(NotRun(kUnavailable, "body-memory"));
     return;
   }
-  Submit(aExchange, std::move(aRequest), { route->first, config->version_, route->second.value_ });
+  CallRoute chosen{ route->first, config->version_, route->second.value_ };
+  chosen.route_.endpoints_ = split_.Choose(route->first, route->second.value_);
+  Submit(aExchange, std::move(aRequest), std::move(chosen));
 }
 
 void CallerServer::Submit(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute)
@@ -285,12 +322,20 @@
     now + std::min(aRoute.timeout_, aRequest.timeLeft_.value_or(aRoute.timeout_));
   plan.idleLimit_ = std::min(aRoute.timeout_, kMostIdle);
   plan.attempts_ = std::max(1U, aRoute.attempts_);
+  const CallPolicy& policy = settings_.policy_;
+  plan.tries_ = plan.attempts_ + policy.extraTries_;
+  plan.paysForRefusals_ = policy.paysForRefusals_;
+  plan.keepsTimeForRetry_ = policy.keepsTimeForRetry_;
+  plan.retriesServerErrors_ = policy.retriesServerErrors_;
+  plan.heldBytes_ = policy.heldBytes_;
   if (aRoute.idempotency_ != config::Idempotency::kIdempotent) {
     // The route's limit is on attempts that may run; refusals that did not run come on top.
-    plan.attempts_ = std::max(plan.attempts_, kTriesUntilRun);
+    plan.tries_ = std::max(plan.tries_, kTriesUntilRun);
   }
   plan.mayContinue_ = aRequest.method_ == "GET" && !hasRange;
-  if (aRoute.trafficClass_ != config::TrafficClass::kDownload) {
+  const bool mayGoOn =
+    aRoute.trafficClass_ == config::TrafficClass::kDownload && !policy.endsDownloadsInTime_;
+  if (!mayGoOn) {
     plan.endDeadline_ = plan.headDeadline_;
   } else if (aRequest.timeLeft_) {
     plan.endDeadline_ = now + *aRequest.timeLeft_;
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -4,10 +4,11 @@
 #include "dandelionstand/caller/ActiveCall.h"
 #include "dandelionstand/caller/KeyedOrders.h"
 #include "dandelionstand/caller/ServicePolicies.h"
-#include "dandelionstand/common/HttpServer.h"
+#include "dandelionstand/caller/TrafficSplit.h"
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
 #include "dandelionstand/config/ConfigState.h"
+#include "dandelionstand/http/Server.h"
 
 #include <sigc++/trackable.h>
 
@@ -15,10 +16,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <unordered_map>
 #include <vector>
 
-struct evhttp_request;
+namespace dandelionstand::dialect {
+class CallerDialect;
+} // namespace dandelionstand::dialect
 
 namespace dandelionstand::peer {
 struct PeerRef;
@@ -26,6 +30,18 @@
 
 namespace dandelionstand::caller {
 
+//! How calls are tried, besides what their route says.
+struct CallPolicy
+{
+  //! Tries of a request besides those that reached an endpoint.
+  std::uint32_t extraTries_ = 0;
+  bool paysForRefusals_ = true;      //!< See CallPlan.
+  bool keepsTimeForRetry_ = true;    //!< See CallPlan.
+  bool retriesServerErrors_ = false; //!< See CallPlan.
+  bool endsDownloadsInTime_ = false; //!< Whether a route's limit holds for whole downloads.
+  std::size_t heldBytes_ = 64UL * 1024;
+};
+
 struct CallerServerSettings
 {
   common::Address listen_;
@@ -38,6 +54,7 @@
   common::FailureDomain failureDomain_;
   common::Region region_;
   std::uint64_t seed_ = 1; //!< Of the choice of endpoints.
+  CallPolicy policy_;
 };
 
 //! Takes HTTP requests from callers, routes them and streams the answers back.
@@ -52,6 +69,7 @@
                peer::Transport& aTransport,
                platform::Log& aLog,
                const peer::EndpointDirectory& aDirectory,
+               const dialect::CallerDialect& aDialect,
                ConfigSource aConfig,
                const CallerServerSettings& aSettings);
   ~CallerServer();
@@ -59,6 +77,11 @@
   const common::Address& BoundAddress() const { return server_.BoundAddress(); }
   //! Refuses new requests as not run; those in flight go on.
   void StartDrain() { isDraining_ = true; }
+  //! Connections end with the answers that are due.
+  void CloseConnections() { server_.StartClosing(); }
+  std::size_t Connections() const { return server_.Connections(); }
+  //! The retry budgets of all services; see RetryBudget.
+  void SetRetryBudget(const RetryBudgetSettings& aSettings) { policies_.SetRetryBudget(aSettings); }
   //! Requests whose answer is not yet written whole.
   std::size_t InFlight() const { return exchanges_.size() + orders_.Open(); }
   //! Keyed orders of this daemon: open ones, and those whose outcome is kept for repeats.
@@ -67,7 +90,8 @@
 private:
   class Exchange;
 
-  void OnRequest(evhttp_request* aRequest);
+  void OnRequest(http::ServerExchange& aExchange);
+  http::Limits ClientLimits() const;
   void Dispatch(Exchange& aExchange, CallerRequest aRequest);
   void Submit(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute);
   void StartOrder(OrderRecord& aOrder);
@@ -87,11 +111,14 @@
   void CountOutcome(const std::string& aOutcome);
 
   CallContext context_;
+  const dialect::CallerDialect& dialect_;
   ConfigSource config_;
   CallerServerSettings settings_;
   ServicePolicies policies_;
+  TrafficSplit split_;
+  std::mt19937_64 random_;
   KeyedOrders orders_;
-  common::HttpServer server_;
+  http::Server server_;
   std::unordered_map<common::RequestId, std::unique_ptr<ActiveCall>> calls_;
   std::map<const Exchange*, std::unique_ptr<Exchange>> exchanges_;
   //! Ended exchanges that the present turn of the loop may still use.
--- a/src/dandelionstand/caller/RetryBudget.cpp
+++ b/src/dandelionstand/caller/RetryBudget.cpp
@@ -1,43 +1,50 @@
 #include "dandelionstand/caller/RetryBudget.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace dandelionstand::caller {
 
-namespace {
-
-constexpr double kPercent = 100.0;
-constexpr double kRefillPerSecond = 1.0;
-constexpr double kMicrosecondsPerSecond = 1e6;
-
-} // namespace
-
 void RetryBudget::AddCall(common::TimePoint aNow)
 {
-  Refill(aNow);
-  Add(percent_ / kPercent);
+  ++StepAt(aNow).calls_;
+  ++calls_;
 }
 
 bool RetryBudget::Spend(common::TimePoint aNow)
 {
-  Refill(aNow);
-  if (retries_ < 1.0) {
+  if (Left(aNow) < 1.0) {
     return false;
   }
-  retries_ -= 1.0;
+  ++StepAt(aNow).retries_;
+  ++retries_;
   return true;
 }
 
-void RetryBudget::Refill(common::TimePoint aNow)
+double RetryBudget::Left(common::TimePoint aNow)
 {
-  const common::Duration age = aNow - refilledAt_;
-  refilledAt_ = aNow;
-  Add(static_cast<double>(age.count()) / kMicrosecondsPerSecond * kRefillPerSecond);
+  StepAt(aNow);
+  const bool hasReserve = aNow - start_ >= settings_.reserveAfter_;
+  const double allowed =
+    settings_.share_ * static_cast<double>(calls_) + (hasReserve ? settings_.reserve_ : 0.0);
+  return allowed - static_cast<double>(retries_);
 }
 
-void RetryBudget::Add(double aRetries)
+RetryBudget::Step& RetryBudget::StepAt(common::TimePoint aNow)
 {
-  retries_ = std::clamp(retries_ + aRetries, 0.0, kReserve);
+  if (!std::exchange(isStarted_, true)) {
+    start_ = aNow;
+  }
+  const common::Duration step = settings_.window_ / kSteps;
+  // A step goes once even its last moment is outside the window.
+  while (!steps_.empty() && aNow - steps_.front().since_ >= settings_.window_ + step) {
+    calls_ -= steps_.front().calls_;
+    retries_ -= steps_.front().retries_;
+    steps_.pop_front();
+  }
+  if (steps_.empty() || aNow - steps_.back().since_ >= step) {
+    steps_.push_back({ aNow, 0, 0 });
+  }
+  return steps_.back();
 }
 
 } // namespace dandelionstand::caller
--- a/src/dandelionstand/caller/RetryBudget.h
+++ b/src/dandelionstand/caller/RetryBudget.h
@@ -4,36 +4,60 @@
 #include "dandelionstand/common/Time.h"
 
 #include <cstdint>
+#include <deque>
 
 namespace dandelionstand::caller {
 
-//! Limits the retries towards one service to a share of its first attempts.
+struct RetryBudgetSettings
+{
+  double share_ = 0.1;                                 //!< Retries by first attempts.
+  double reserve_ = 10;                                //!< Retries in a window on top.
+  common::Duration window_ = std::chrono::seconds(10); //!< Over which both count.
+  //! The reserve counts from so long after the start. Daemons that start again in a wave would
+  //! each spend a reserve that the one before them spent already.
+  common::Duration reserveAfter_{ 0 };
+};
+
+//! Limits the retries towards one service to a share of its first attempts, over a sliding window.
 //!
-//! A small reserve, refilled slowly, lets single retries through at low rates.
+//! Answers the load pattern of an outage: every request fails once, and without a limit the
+//! retries double the load on the endpoints that are left.
 class RetryBudget
 {
 public:
-  explicit RetryBudget(std::uint32_t aPercent)
-    : percent_(aPercent)
+  explicit RetryBudget(RetryBudgetSettings aSettings)
+    : settings_(aSettings)
   {
   }
 
-  void SetPercent(std::uint32_t aPercent) { percent_ = aPercent; }
+  void SetSettings(const RetryBudgetSettings& aSettings) { settings_ = aSettings; }
 
   //! Counts a first attempt.
   void AddCall(common::TimePoint aNow);
   //! Takes one retry from the budget; false if it is used up.
   bool Spend(common::TimePoint aNow);
+  //! Retries that are left at present.
+  double Left(common::TimePoint aNow);
 
 private:
-  void Refill(common::TimePoint aNow);
-  void Add(double aRetries);
+  //! What happened in one step of the window.
+  struct Step
+  {
+    common::TimePoint since_;
+    std::uint32_t calls_ = 0;
+    std::uint32_t retries_ = 0;
+  };
+
+  Step& StepAt(common::TimePoint aNow);
 
-  static constexpr double kReserve = 10.0;
+  static constexpr int kSteps = 20;
 
-  std::uint32_t percent_;
-  double retries_ = kReserve;
-  common::TimePoint refilledAt_;
+  RetryBudgetSettings settings_;
+  std::deque<Step> steps_;
+  std::uint64_t calls_ = 0;
+  std::uint64_t retries_ = 0;
+  common::TimePoint start_;
+  bool isStarted_ = false;
 };
 
 } // namespace dandelionstand::caller
--- a/src/dandelionstand/caller/ServicePolicies.cpp
+++ b/src/dandelionstand/caller/ServicePolicies.cpp
@@ -6,6 +6,7 @@
 
 //! Membership is looked up at most this often for a service with endpoints.
 constexpr common::Duration kRefreshInterval = std::chrono::milliseconds(20);
+constexpr double kPercent = 100.0;
 
 } // namespace
 
@@ -18,20 +19,29 @@
 {
 }
 
+RetryBudgetSettings ServicePolicies::BudgetOf(const config::Limits& aLimits) const
+{
+  if (retryBudget_) {
+    return *retryBudget_;
+  }
+  RetryBudgetSettings settings;
+  settings.share_ = aLimits.retryBudgetPercent_ / kPercent;
+  return settings;
+}
+
 ServicePolicy& ServicePolicies::For(const common::ServiceName& aService,
                                     const config::Limits& aLimits,
                                     common::TimePoint aNow)
 {
   std::unique_ptr<ServicePolicy>& policy = policies_[aService];
   if (!policy) {
-    policy.reset(new ServicePolicy{ EndpointPicker(settings_, seed_ + policies_.size()),
-                                    RetryBudget(aLimits.retryBudgetPercent_),
-                                    {} });
+    policy.reset(new ServicePolicy{
+      EndpointPicker(settings_, seed_ + policies_.size()), RetryBudget(BudgetOf(aLimits)), {} });
   }
   if (policy->picker_.Size() == 0 || aNow - policy->refreshedAt_ >= kRefreshInterval) {
     policy->picker_.SetEndpoints(directory_.EndpointsOf(aService), aNow);
     policy->picker_.SetSlots(aLimits.slots_);
-    policy->budget_.SetPercent(aLimits.retryBudgetPercent_);
+    policy->budget_.SetSettings(BudgetOf(aLimits));
     policy->refreshedAt_ = aNow;
   }
   return *policy;
--- a/src/dandelionstand/caller/ServicePolicies.h
+++ b/src/dandelionstand/caller/ServicePolicies.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace dandelionstand::caller {
 
@@ -29,14 +30,20 @@
                   PickerSettings aSettings,
                   std::uint64_t aSeed);
 
+  //! Replaces the budgets that come from each service's limits.
+  void SetRetryBudget(const RetryBudgetSettings& aSettings) { retryBudget_ = aSettings; }
+
   ServicePolicy& For(const common::ServiceName& aService,
                      const config::Limits& aLimits,
                      common::TimePoint aNow);
 
 private:
+  RetryBudgetSettings BudgetOf(const config::Limits& aLimits) const;
+
   const peer::EndpointDirectory& directory_;
   PickerSettings settings_;
   std::uint64_t seed_;
+  std::optional<RetryBudgetSettings> retryBudget_;
   //! Calls hold references to the policies.
   std::map<common::ServiceName, std::unique_ptr<ServicePolicy>> policies_;
 };
--- a/src/dandelionstand/config/ConfigState.cpp
+++ b/src/dandelionstand/config/ConfigState.cpp
@@ -35,15 +35,18 @@
 } // namespace
 
 const std::pair<const RouteName, Versioned<Route>>* ConfigState::Match(
+  const std::string& aHost,
   const std::string& aMethod,
   const std::string& aPath) const
 {
   const std::pair<const RouteName, Versioned<Route>>* best = nullptr;
   for (const auto& entry : routes_) {
     const Route& route = entry.second.value_;
+    const bool takesHost = route.host_.empty() || route.host_ == aHost;
     const bool takesMethod =
+      route.methods_.empty() ||
       std::find(route.methods_.begin(), route.methods_.end(), aMethod) != route.methods_.end();
-    if (!takesMethod || !aPath.starts_with(route.pathPrefix_)) {
+    if (!takesHost || !takesMethod || !aPath.starts_with(route.pathPrefix_)) {
       continue;
     }
     if (best == nullptr || route.pathPrefix_.size() > best->second.value_.pathPrefix_.size()) {
--- a/src/dandelionstand/config/ConfigState.h
+++ b/src/dandelionstand/config/ConfigState.h
@@ -41,11 +41,15 @@
   std::map<RouteName, Versioned<Route>> routes_;
   //! Resources deleted of late and the versions that deleted them.
   std::map<ResourceKey, common::Version> deleted_;
+  //! Set if the configuration says what clients may send; else the daemon's settings do.
+  std::optional<ClientLimits> clientLimits_;
 
   bool operator==(const ConfigState&) const = default;
 
-  //! The route with the longest matching path prefix that takes the method; null if none does.
-  const std::pair<const RouteName, Versioned<Route>>* Match(const std::string& aMethod,
+  //! The route of the host with the longest matching path prefix that takes the method; null if
+  //! none does.
+  const std::pair<const RouteName, Versioned<Route>>* Match(const std::string& aHost,
+                                                            const std::string& aMethod,
                                                             const std::string& aPath) const;
 
   //! Every resource, ordered by kind and name.
--- a/src/dandelionstand/config/Resources.h
+++ b/src/dandelionstand/config/Resources.h
@@ -72,16 +72,40 @@
   bool operator==(const Endpoints&) const = default;
 };
 
+//! A service that takes a share of a route's requests.
+struct SplitPart
+{
+  common::ServiceName service_;
+  std::uint32_t weight_ = 0;
+
+  bool operator==(const SplitPart&) const = default;
+};
+
+//! What a client may send, and how long it may take or stay idle.
+struct ClientLimits
+{
+  std::uint64_t headBytes_ = 16UL * 1024;
+  std::uint64_t bodyBytes_ = 1024UL * 1024;
+  common::Duration headTime_ = std::chrono::seconds(10); //!< For a head, from its first byte.
+  common::Duration idleTime_ = std::chrono::seconds(60);
+
+  bool operator==(const ClientLimits&) const = default;
+};
+
 //! Which requests go to which service, and what was promised for them.
 struct Route
 {
   std::string pathPrefix_;
-  std::vector<std::string> methods_;
+  std::vector<std::string> methods_; //!< Empty: any method.
   common::ServiceName endpoints_;
   Idempotency idempotency_ = Idempotency::kOnce;
   TrafficClass trafficClass_ = TrafficClass::kBrowse;
   common::Duration timeout_ = std::chrono::seconds(2);
   std::uint32_t attempts_ = 3;
+  std::string host_;                                     //!< Empty: any host.
+  std::vector<SplitPart> split_;                         //!< Instead of endpoints_, by weight.
+  std::uint32_t priority_ = 0;                           //!< Rank under load; 0 goes first.
+  common::Duration objective_ = std::chrono::seconds(1); //!< Latency objective of a whole answer.
 
   bool operator==(const Route&) const = default;
 };
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -2,10 +2,18 @@
 
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/config/Document.h"
+#include "dandelionstand/daemon/DocumentConfig.h"
+#include "dandelionstand/daemon/PublishedConfig.h"
+#include "dandelionstand/dialect/NativeDialect.h"
+#include "dandelionstand/platform/HttpDialect.h"
 
 #include <sigc++/functors/mem_fun.h>
 
+#include <algorithm>
 #include <csignal>
+#include <fstream>
+#include <sstream>
+#include <utility>
 
 namespace dandelionstand::daemon {
 
@@ -17,6 +25,22 @@
 constexpr common::Duration kFlushTime = 30ms;
 //! Time for peers and callers to hear of the leaving before the addresses close.
 constexpr common::Duration kDrainAtLeast = 1s;
+//! The platform asks every second whether clients may come, and sends none after two misses.
+constexpr common::Duration kClientsLeave = 2'300ms;
+//! Before the platform kills the process: no new requests, and the end of those in flight.
+constexpr common::Duration kLastRequestsBefore = 1'500ms;
+constexpr common::Duration kEndBefore = 300ms;
+//! A daemon without peers by then is alone, and serves what its own target can.
+constexpr common::Duration kLoneStart = 2s;
+//! The settings file may change without a signal.
+constexpr common::Duration kSettingsCheck = 2s;
+//! Parts of the shared budget and reserve that are used. The rest covers what one daemon does not
+//! see: the retries of requests that its own retries caused deeper in a chain.
+constexpr double kUsedRetryShare = 0.5;
+constexpr double kUsedRetryReserve = 0.6;
+//! Answers up to this size can be had from another endpoint when one breaks off. It covers the
+//! largest downloads of the sites, at 16 MiB for 16 of them at a time.
+constexpr std::size_t kHeldBytes = 1024UL * 1024;
 
 platform::HttpLogSettings LogSettingsOf(const Settings& aSettings)
 {
@@ -55,9 +79,54 @@
 {
   peer::MembershipSettings membership;
   membership.seeds_ = aSettings.peers_.seeds_;
+  if (aSettings.platform_) {
+    // Failure domains of a few instances: rounds are cheap, and endpoints that start or leave
+    // have to be known within a second or two.
+    membership.digestInterval_ = 1s;
+    membership.contactInterval_ = 1s;
+    membership.joinRetryMost_ = 2s;
+  }
   return membership;
 }
 
+caller::CallPolicy CallPolicyOf(const Settings& aSettings)
+{
+  caller::CallPolicy policy;
+  if (aSettings.platform_) {
+    policy.extraTries_ = 2;
+    policy.paysForRefusals_ = false;
+    policy.keepsTimeForRetry_ = false;
+    policy.retriesServerErrors_ = true;
+    policy.endsDownloadsInTime_ = true;
+    policy.heldBytes_ = kHeldBytes;
+  }
+  return policy;
+}
+
+std::unique_ptr<dialect::CallerDialect> MakeCallerDialect(const Settings& aSettings)
+{
+  if (aSettings.platform_) {
+    return std::make_unique<platform::HttpCallerDialect>(aSettings.platform_->service_);
+  }
+  return std::make_unique<dialect::NativeCallerDialect>();
+}
+
+std::unique_ptr<dialect::TargetDialect> MakeTargetDialect(const Settings& aSettings)
+{
+  if (aSettings.platform_) {
+    return std::make_unique<platform::HttpTargetDialect>();
+  }
+  return std::make_unique<dialect::NativeTargetDialect>();
+}
+
+std::string ReadText(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 caller::CallerServerSettings CallerSettingsOf(const Settings& aSettings,
                                               common::Incarnation aIncarnation)
 {
@@ -70,13 +139,19 @@
            .peerAddress_ = aSettings.peers_.advertise_,
            .failureDomain_ = aSettings.failureDomain_,
            .region_ = aSettings.region_,
-           .seed_ = aIncarnation.Get() };
+           .seed_ = aIncarnation.Get(),
+           .policy_ = CallPolicyOf(aSettings) };
 }
 
 } // namespace
 
-Daemon::Daemon(const Settings& aSettings)
+Daemon::Daemon(const Settings& aSettings, std::string aSettingsFile)
   : settings_(aSettings)
+  , settingsFile_(std::move(aSettingsFile))
+  , settingsText_(ReadText(settingsFile_))
+  , startedAt_(common::Now())
+  , callerDialect_(MakeCallerDialect(aSettings))
+  , targetDialect_(MakeTargetDialect(aSettings))
   , incarnation_(common::NewIncarnationNumber())
   , log_(loop_, LogSettingsOf(aSettings), counters_)
   , transport_(loop_, counters_, TransportSettingsOf(aSettings, incarnation_))
@@ -87,27 +162,44 @@
                 log_,
                 MemberOf(aSettings, incarnation_),
                 MembershipSettingsOf(aSettings))
-  , spreading_(loop_,
+  , forwarder_(loop_,
                counters_,
-               control_,
                transport_,
-               log_,
-               MemberOf(aSettings, incarnation_),
-               peer::MakeSpreadingSettings(aSettings.profile_, aSettings.spreading_))
-  , forwarder_(loop_, counters_, transport_, incarnation_, [this] { return spreading_.InForce(); })
+               *targetDialect_,
+               incarnation_,
+               [this] { return config_->InForce(); })
   , callerServer_(
       loop_,
       counters_,
       transport_,
       log_,
       membership_,
-      [this] { return spreading_.InForce(); },
+      *callerDialect_,
+      [this] { return config_->InForce(); },
       CallerSettingsOf(aSettings, incarnation_))
   , admin_(loop_, counters_, aSettings.adminListen_)
 {
+  if (aSettings.platform_) {
+    config_ = std::make_unique<DocumentConfig>(
+      loop_, counters_, control_, transport_, log_, incarnation_.Get());
+  } else {
+    config_ = std::make_unique<PublishedConfig>(
+      loop_,
+      counters_,
+      control_,
+      transport_,
+      log_,
+      MemberOf(aSettings, incarnation_),
+      peer::MakeSpreadingSettings(aSettings.profile_, aSettings.spreading_));
+  }
   SetUpAdmin();
+  if (aSettings.platform_) {
+    SetUpPlatform();
+  }
   terminate_ = loop_.OnSignal(SIGTERM, [this] { OnTerminate(); });
   interrupt_ = loop_.OnSignal(SIGINT, [this] { OnTerminate(); });
+  hangUp_ = loop_.OnSignal(SIGHUP, [this] { Reload("signal"); });
+  settingsCheck_ = loop_.Every(kSettingsCheck, [this] { CheckSettingsFile(); });
 }
 
 Daemon::~Daemon() = default;
@@ -115,9 +207,9 @@
 void Daemon::SetUpAdmin()
 {
   membership_.Changed().connect(sigc::mem_fun(*this, &Daemon::OnMembersChanged));
-  spreading_.VersionChanged().connect(
+  config_->VersionChanged().connect(
     sigc::mem_fun(membership_, &peer::MembershipTask::SetConfigVersion));
-  admin_.SetStatus([this] { return Status(); });
+  admin_.SetStatus([this] { return config_->Status(); });
   admin_.AddDumpSection("members", [this] { return DumpMembers(); });
   admin_.TargetAnnounced().connect(sigc::mem_fun(*this, &Daemon::OnTargetAnnounced));
   admin_.TargetLeaving().connect(sigc::mem_fun(*this, &Daemon::OnTargetLeaving));
@@ -130,7 +222,7 @@
                            { "in_flight", InFlight() } };
   });
   admin_.AddDumpSection("config", [this] {
-    const config::ConfigStatePtr state = spreading_.InForce();
+    const config::ConfigStatePtr state = config_->InForce();
     nlohmann::json dump{ { "version", state ? state->version_.Get() : 0 },
                          { "routes", state ? state->routes_.size() : 0 } };
     if (state) {
@@ -144,9 +236,7 @@
     return nlohmann::json{ { "open", callerServer_.Orders().Open() },
                            { "remembered", callerServer_.Orders().Remembered() } };
   });
-  admin_.AddDumpSection("roles", [this] {
-    return nlohmann::json{ { "reads_log", spreading_.State().IsReader() } };
-  });
+  admin_.AddDumpSection("roles", [this] { return config_->DumpRoles(); });
 }
 
 nlohmann::json Daemon::DumpQueue() const
@@ -159,7 +249,8 @@
 {
   const peer::Members members = membership_.State().All();
   control_.SetMembers(members);
-  spreading_.SetMembers(members, membership_.State().HasJoined());
+  config_->SetMembers(members, membership_.State().HasJoined());
+  ApplyRetryBudget();
 }
 
 nlohmann::json Daemon::DumpMembers() const
@@ -178,31 +269,6 @@
   return members;
 }
 
-nlohmann::json Daemon::Status()
-{
-  nlohmann::json domains = nlohmann::json::object();
-  for (const peer::DomainVersions& domain : spreading_.Versions()) {
-    nlohmann::json inForce = nlohmann::json::object();
-    for (const auto& [version, members] : domain.inForce_) {
-      inForce[std::to_string(version.Get())] = members;
-    }
-    nlohmann::json lagging = nlohmann::json::array();
-    for (const common::InstanceId& instance : domain.lagging_) {
-      lagging.push_back(instance.Get());
-    }
-    domains[domain.failureDomain_.Get()] = { { "members", domain.members_ },
-                                             { "in_force", std::move(inForce) },
-                                             { "lagging", std::move(lagging) } };
-  }
-  const config::ConfigStatePtr state = spreading_.InForce();
-  const peer::VersionFloor::Decision decision = spreading_.MayServe();
-  return { { "version", state ? state->version_.Get() : 0 },
-           { "serves", decision.mayServe_ },
-           { "reason", peer::ToText(decision.reason_) },
-           { "reads_log", spreading_.State().IsReader() },
-           { "failure_domains", std::move(domains) } };
-}
-
 nlohmann::json Daemon::DumpLinks() const
 {
   nlohmann::json links = nlohmann::json::array();
@@ -232,19 +298,95 @@
   return forwarder_.InFlight() + callerServer_.InFlight();
 }
 
+void Daemon::SetUpPlatform()
+{
+  const PlatformSettings& platform = *settings_.platform_;
+  targetWatch_ = std::make_unique<target::TargetWatch>(loop_, counters_, forwarder_);
+  targetWatch_->Changed().connect(sigc::mem_fun(*this, &Daemon::OnTargetChanged));
+  endpointServer_ = std::make_unique<platform::EndpointServer>(
+    loop_, counters_, platform.controlListen_, [this](const target::TargetAnnouncement& aNews) {
+      targetWatch_->Announce(aNews);
+    });
+  readinessServer_ = std::make_unique<platform::ReadinessServer>(
+    loop_, platform.readinessListen_, [this] { return IsReadyForClients(); });
+  ApplyRetryBudget();
+}
+
+bool Daemon::IsReadyForClients() const
+{
+  const bool knowsPeers =
+    membership_.State().HasJoined() || common::Now() - startedAt_ > kLoneStart;
+  return !isDraining_ && config_->InForce() != nullptr && knowsPeers;
+}
+
+void Daemon::ApplyRetryBudget()
+{
+  if (!settings_.platform_) {
+    return;
+  }
+  const peer::Members members = membership_.State().All();
+  const auto live = std::count_if(
+    members.begin(), members.end(), [](const peer::Member& aMember) { return aMember.IsLive(); });
+  const platform::PlatformBounds& bounds = settings_.platform_->bounds_;
+  caller::RetryBudgetSettings budget;
+  budget.share_ = bounds.retryShare_ * kUsedRetryShare;
+  budget.reserve_ = bounds.retryReserve_ * kUsedRetryReserve /
+                    static_cast<double>(std::max<std::ptrdiff_t>(1, live));
+  budget.window_ = bounds.retryWindow_;
+  budget.reserveAfter_ = bounds.retryWindow_;
+  callerServer_.SetRetryBudget(budget);
+}
+
+void Daemon::Reload(const char* aCause)
+{
+  const std::string text = ReadText(settingsFile_);
+  common::Findings findings;
+  const Settings fresh = ParseSettings(text, settingsFile_, findings);
+  settingsText_ = text;
+  if (!findings.IsEmpty()) {
+    common::LogEvent(common::Severity::kError,
+                     "reload_refused",
+                     { { "cause", aCause }, { "findings", findings.ToString() } });
+    return;
+  }
+  // Addresses and the place of the instance hold for the life of the process.
+  settings_.logLevel_ = fresh.logLevel_;
+  settings_.drainLimit_ = fresh.drainLimit_;
+  if (settings_.platform_ && fresh.platform_) {
+    settings_.platform_->bounds_ = fresh.platform_->bounds_;
+  }
+  common::SetLogSeverity(settings_.logLevel_);
+  ApplyRetryBudget();
+  common::LogEvent(common::Severity::kInfo, "reloaded", { { "cause", aCause } });
+}
+
+void Daemon::CheckSettingsFile()
+{
+  if (ReadText(settingsFile_) != settingsText_) {
+    Reload("file");
+  }
+}
+
 void Daemon::OnTargetAnnounced(const common::ServiceName& aService, const common::Address& aAddress)
 {
   if (isDraining_) {
     return;
   }
   const bool isReady = !aAddress.Get().empty();
-  forwarder_.SetTarget(aService, aAddress);
+  forwarder_.SetTarget({ aService, aAddress });
   membership_.Announce(isReady ? aService : common::ServiceName());
 }
 
+void Daemon::OnTargetChanged(const common::ServiceName& aService)
+{
+  if (!isDraining_) {
+    membership_.Announce(aService);
+  }
+}
+
 void Daemon::OnTargetLeaving()
 {
-  forwarder_.SetTarget(common::ServiceName(), common::Address());
+  forwarder_.SetTarget({});
   membership_.Leave();
 }
 
@@ -259,16 +401,26 @@
   common::LogEvent(common::Severity::kInfo, "draining", { { "in_flight", InFlight() } });
   membership_.Leave();
   forwarder_.StartDrain();
-  callerServer_.StartDrain();
+  common::Duration limit = settings_.drainLimit_;
+  if (settings_.platform_) {
+    // Clients go on coming until the platform has noticed; they are served meanwhile.
+    const common::Duration stop = settings_.platform_->bounds_.stopTime_;
+    callerServer_.CloseConnections();
+    lastRequests_ = loop_.After(stop - std::min(stop, kLastRequestsBefore),
+                                [this] { callerServer_.StartDrain(); });
+    limit = stop - std::min(stop, kEndBefore);
+  } else {
+    callerServer_.StartDrain();
+  }
   drainCheck_ = loop_.Every(kDrainCheckInterval, [this] { CheckDrained(); });
-  drainLimit_ = loop_.After(settings_.drainLimit_, [this] {
-    Finish(InFlight() == 0 ? ExitStatus::kOk : ExitStatus::kCut);
-  });
+  drainLimit_ =
+    loop_.After(limit, [this] { Finish(InFlight() == 0 ? ExitStatus::kOk : ExitStatus::kCut); });
 }
 
 void Daemon::CheckDrained()
 {
-  if (InFlight() == 0 && common::Now() - drainingSince_ >= kDrainAtLeast) {
+  const common::Duration atLeast = settings_.platform_ ? kClientsLeave : kDrainAtLeast;
+  if (InFlight() == 0 && common::Now() - drainingSince_ >= atLeast) {
     Finish(ExitStatus::kOk);
   }
 }
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -5,17 +5,23 @@
 #include "dandelionstand/common/Counters.h"
 #include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/daemon/AdminServer.h"
+#include "dandelionstand/daemon/ConfigSource.h"
 #include "dandelionstand/daemon/Settings.h"
+#include "dandelionstand/dialect/CallerDialect.h"
+#include "dandelionstand/dialect/TargetDialect.h"
 #include "dandelionstand/peer/ControlSender.h"
 #include "dandelionstand/peer/MembershipTask.h"
-#include "dandelionstand/peer/SpreadingTask.h"
 #include "dandelionstand/peer/ZmqTransport.h"
+#include "dandelionstand/platform/EndpointServer.h"
 #include "dandelionstand/platform/HttpLog.h"
+#include "dandelionstand/platform/ReadinessServer.h"
 #include "dandelionstand/target/TargetForwarder.h"
+#include "dandelionstand/target/TargetWatch.h"
 
 #include <sigc++/trackable.h>
 
 #include <memory>
+#include <string>
 
 namespace dandelionstand::daemon {
 
@@ -32,8 +38,9 @@
 class Daemon : public sigc::trackable
 {
 public:
-  //! Binds all addresses; throws std::runtime_error if one is taken.
-  explicit Daemon(const Settings& aSettings);
+  //! Binds all addresses; throws std::runtime_error if one is taken. aSettingsFile is read again
+  //! when it changes.
+  Daemon(const Settings& aSettings, std::string aSettingsFile);
   ~Daemon();
 
   //! Runs until a graceful shutdown has ended.
@@ -42,6 +49,12 @@
 private:
   void OnTargetAnnounced(const common::ServiceName& aService, const common::Address& aAddress);
   void OnTargetLeaving();
+  void OnTargetChanged(const common::ServiceName& aService);
+  void SetUpPlatform();
+  bool IsReadyForClients() const;
+  void ApplyRetryBudget();
+  void Reload(const char* aCause);
+  void CheckSettingsFile();
   void OnTerminate();
   void CheckDrained();
   void Finish(ExitStatus aStatus);
@@ -50,10 +63,14 @@
   nlohmann::json DumpQueue() const;
   void OnMembersChanged();
   nlohmann::json DumpMembers() const;
-  nlohmann::json Status();
   std::size_t InFlight() const;
 
   Settings settings_;
+  std::string settingsFile_;
+  std::string settingsText_; //!< As it was read last.
+  common::TimePoint startedAt_;
+  std::unique_ptr<dialect::CallerDialect> callerDialect_;
+  std::unique_ptr<dialect::TargetDialect> targetDialect_;
   common::Incarnation incarnation_;
   common::EventLoop loop_;
   common::Counters counters_;
@@ -61,10 +78,16 @@
   peer::ZmqTransport transport_;
   peer::ControlSender control_;
   peer::MembershipTask membership_;
-  peer::SpreadingTask spreading_;
+  std::unique_ptr<ConfigSource> config_;
   target::TargetForwarder forwarder_;
   caller::CallerServer callerServer_;
   AdminServer admin_;
+  std::unique_ptr<target::TargetWatch> targetWatch_;
+  std::unique_ptr<platform::EndpointServer> endpointServer_;
+  std::unique_ptr<platform::ReadinessServer> readinessServer_;
+  std::unique_ptr<common::Watch> hangUp_;
+  std::unique_ptr<common::Watch> settingsCheck_;
+  std::unique_ptr<common::Watch> lastRequests_;
   std::unique_ptr<common::Watch> terminate_;
   std::unique_ptr<common::Watch> interrupt_;
   std::unique_ptr<common::Watch> drainCheck_;
--- /dev/null
+++ b/src/dandelionstand/daemon/DocumentConfig.h
@@ -0,0 +1,48 @@
+#ifndef dandelionstand_daemon_DocumentConfig_h
+#define dandelionstand_daemon_DocumentConfig_h
+
+#include "dandelionstand/daemon/ConfigSource.h"
+#include "dandelionstand/peer/DocumentTask.h"
+#include "dandelionstand/platform/ConfigFeed.h"
+
+#include <sigc++/trackable.h>
+
+#include <string>
+
+namespace dandelionstand::common {
+class Counters;
+} // namespace dandelionstand::common
+
+namespace dandelionstand::daemon {
+
+//! The configuration that the operator writes to the platform's store as a whole document.
+class DocumentConfig
+  : public ConfigSource
+  , public sigc::trackable
+{
+public:
+  DocumentConfig(common::EventLoop& aLoop,
+                 common::Counters& aCounters,
+                 peer::ControlSender& aSender,
+                 peer::Transport& aTransport,
+                 platform::Log& aLog,
+                 std::uint64_t aSeed);
+
+  config::ConfigStatePtr InForce() override { return state_; }
+  void SetMembers(const peer::Members& aMembers, bool aHasJoined) override;
+  nlohmann::json Status() override;
+  nlohmann::json DumpRoles() const override;
+
+private:
+  void OnDocument(const std::string& aText, const char* aOrigin);
+
+  common::Counters& counters_;
+  peer::DocumentTask peers_;
+  platform::ConfigFeed feed_;
+  peer::Members members_;
+  config::ConfigStatePtr state_;
+};
+
+} // namespace dandelionstand::daemon
+
+#endif // dandelionstand_daemon_DocumentConfig_h
--- /dev/null
+++ b/src/dandelionstand/daemon/PublishedConfig.cpp
@@ -0,0 +1,54 @@
+#include "dandelionstand/daemon/PublishedConfig.h"
+
+#include <utility>
+
+namespace dandelionstand::daemon {
+
+PublishedConfig::PublishedConfig(common::EventLoop& aLoop,
+                                 common::Counters& aCounters,
+                                 peer::ControlSender& aSender,
+                                 peer::Transport& aTransport,
+                                 platform::Log& aLog,
+                                 const peer::Member& aSelf,
+                                 const peer::SpreadingSettings& aSettings)
+  : spreading_(aLoop, aCounters, aSender, aTransport, aLog, aSelf, aSettings)
+{
+  spreading_.VersionChanged().connect(VersionChanged().make_slot());
+}
+
+void PublishedConfig::SetMembers(const peer::Members& aMembers, bool aHasJoined)
+{
+  spreading_.SetMembers(aMembers, aHasJoined);
+}
+
+nlohmann::json PublishedConfig::Status()
+{
+  nlohmann::json domains = nlohmann::json::object();
+  for (const peer::DomainVersions& domain : spreading_.Versions()) {
+    nlohmann::json inForce = nlohmann::json::object();
+    for (const auto& [version, members] : domain.inForce_) {
+      inForce[std::to_string(version.Get())] = members;
+    }
+    nlohmann::json lagging = nlohmann::json::array();
+    for (const common::InstanceId& instance : domain.lagging_) {
+      lagging.push_back(instance.Get());
+    }
+    domains[domain.failureDomain_.Get()] = { { "members", domain.members_ },
+                                             { "in_force", std::move(inForce) },
+                                             { "lagging", std::move(lagging) } };
+  }
+  const config::ConfigStatePtr state = spreading_.InForce();
+  const peer::VersionFloor::Decision decision = spreading_.MayServe();
+  return { { "version", state ? state->version_.Get() : 0 },
+           { "serves", decision.mayServe_ },
+           { "reason", peer::ToText(decision.reason_) },
+           { "reads_log", spreading_.State().IsReader() },
+           { "failure_domains", std::move(domains) } };
+}
+
+nlohmann::json PublishedConfig::DumpRoles() const
+{
+  return { { "reads_log", spreading_.State().IsReader() } };
+}
+
+} // namespace dandelionstand::daemon
--- a/src/dandelionstand/daemon/Settings.cpp
+++ b/src/dandelionstand/daemon/Settings.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::uint64_t kKiB = 1024;
 constexpr std::uint64_t kMiB = 1024 * kKiB;
-constexpr Range kBodyBytes{ 1, 2 * kMiB };
+constexpr Range kBodyBytes{ 1, 64 * kMiB };
 constexpr Range kHeaderBytes{ kKiB, 256 * kKiB };
 constexpr Range kBodyMemoryBytes{ kMiB, 256 * kMiB };
 constexpr Range kHeartbeatMs{ 50, 60'000 };
@@ -101,6 +101,17 @@
   return log;
 }
 
+PlatformSettings ReadPlatform(JsonReader aReader, common::Findings& aFindings)
+{
+  PlatformSettings platform;
+  platform.service_ = common::ServiceName(aReader.RequiredString("service"));
+  platform.controlListen_ = RequiredAddress(aReader, "control_listen");
+  platform.readinessListen_ = RequiredAddress(aReader, "readiness_listen");
+  platform.bounds_ = platform::ParseBounds(aReader.Strings("bounds"), aFindings);
+  aReader.RejectUnknownKeys();
+  return platform;
+}
+
 } // namespace
 
 Settings ParseSettings(const std::string& aText,
@@ -127,6 +138,9 @@
   settings.drainLimit_ = Milliseconds(reader.Number("drain_limit_ms", 30'000, kDrainLimitMs));
   common::ParseSeverity(reader.Choice("log_level", { "debug", "info", "warn", "error" }, "info"),
                         settings.logLevel_);
+  if (reader.Has("platform")) {
+    settings.platform_ = ReadPlatform(reader.Object("platform"), aFindings);
+  }
   reader.RejectUnknownKeys();
   return settings;
 }
--- a/src/dandelionstand/daemon/Settings.h
+++ b/src/dandelionstand/daemon/Settings.h
@@ -5,8 +5,10 @@
 #include "dandelionstand/common/Findings.h"
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
+#include "dandelionstand/platform/PlatformBounds.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +42,15 @@
   common::Duration timeout_{};
 };
 
+//! How the daemon meets the users' platform instead of the product's own interfaces.
+struct PlatformSettings
+{
+  common::ServiceName service_;     //!< Of the endpoint beside the daemon.
+  common::Address controlListen_;   //!< For what the endpoint says of itself.
+  common::Address readinessListen_; //!< Where the platform asks whether clients may come.
+  platform::PlatformBounds bounds_;
+};
+
 //! Everything that a daemon reads at its start.
 struct Settings
 {
@@ -54,6 +65,7 @@
   std::string profile_;   //!< "time" or "bytes".
   common::Duration drainLimit_{};
   common::Severity logLevel_ = common::Severity::kInfo;
+  std::optional<PlatformSettings> platform_;
 };
 
 //! Parses settings; with findings the result must not be used.
--- /dev/null
+++ b/src/dandelionstand/dialect/CallerDialect.cpp
@@ -0,0 +1,7 @@
+#include "dandelionstand/dialect/CallerDialect.h"
+
+namespace dandelionstand::dialect {
+
+CallerDialect::~CallerDialect() = default;
+
+} // namespace dandelionstand::dialect
--- /dev/null
+++ b/src/dandelionstand/dialect/CallerDialect.h
@@ -0,0 +1,20 @@
+#ifndef dandelionstand_dialect_CallerDialect_h
+#define dandelionstand_dialect_CallerDialect_h
+
+#include "dandelionstand/dialect/CallerRequest.h"
+
+namespace dandelionstand::dialect {
+
+//! How requests and refusals are written on the connections of callers.
+class CallerDialect
+{
+public:
+  virtual ~CallerDialect();
+
+  virtual CallerRequest Read(http::Request aRequest) const = 0;
+  virtual http::ResponseHead WriteRefusal(const Refusal& aRefusal) const = 0;
+};
+
+} // namespace dandelionstand::dialect
+
+#endif // dandelionstand_dialect_CallerDialect_h
--- /dev/null
+++ b/src/dandelionstand/dialect/NativeDialect.cpp
@@ -0,0 +1,95 @@
+#include "dandelionstand/dialect/NativeDialect.h"
+
+#include "dandelionstand/common/HttpHeaders.h"
+
+#include <charconv>
+#include <utility>
+
+namespace dandelionstand::dialect {
+
+namespace {
+
+constexpr std::uint32_t kServiceUnavailable = 503;
+//! Set by a target that shed the request before it did any work on it.
+constexpr const char* kShedHeader = "Dandelion-Shed";
+
+std::uint64_t ToMilliseconds(common::Duration aDuration)
+{
+  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+  return count < 0 ? 0 : static_cast<std::uint64_t>(count);
+}
+
+} // namespace
+
+bool ParseNumber(std::string_view aText, std::uint32_t& aNumber)
+{
+  const char* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, aNumber);
+  return result.ec == std::errc() && result.ptr == end && !aText.empty();
+}
+
+http::Headers EndToEndHeaders(const http::Headers& aHeaders)
+{
+  http::Headers headers;
+  const std::string_view connection = http::FindHeader(aHeaders, "Connection");
+  for (const http::Header& header : aHeaders) {
+    if (common::IsEndToEndRequestHeader(header.name_, connection)) {
+      headers.push_back(header);
+    }
+  }
+  return headers;
+}
+
+CallerRequest NativeCallerDialect::Read(http::Request aRequest) const
+{
+  CallerRequest result;
+  result.method_ = std::move(aRequest.method_);
+  result.host_ = http::FindHeader(aRequest.headers_, "Host");
+  result.path_ = aRequest.Path();
+  result.target_ = std::move(aRequest.target_);
+  result.headers_ = EndToEndHeaders(aRequest.headers_);
+  result.body_ = std::move(aRequest.body_);
+  result.idempotencyKey_ = http::FindHeader(aRequest.headers_, "Idempotency-Key");
+  const std::string_view deadline = http::FindHeader(aRequest.headers_, "Deadline-Ms");
+  if (!deadline.empty()) {
+    std::uint32_t milliseconds = 0;
+    result.isValid_ = ParseNumber(deadline, milliseconds);
+    result.timeLeft_ = std::chrono::milliseconds(milliseconds);
+  }
+  const std::string_view depth = http::FindHeader(aRequest.headers_, "Dandelion-Depth");
+  if (!depth.empty()) {
+    result.isValid_ = ParseNumber(depth, result.depth_) && result.isValid_;
+  }
+  return result;
+}
+
+http::ResponseHead NativeCallerDialect::WriteRefusal(const Refusal& aRefusal) const
+{
+  http::ResponseHead head{ aRefusal.status_, {} };
+  head.headers_.push_back({ "Content-Type", "text/plain" });
+  head.headers_.push_back({ "Dandelion-Reason", aRefusal.reason_ });
+  head.headers_.push_back({ "Dandelion-Run", std::string(ToText(aRefusal.runState_)) });
+  if (aRefusal.deep_) {
+    head.headers_.push_back({ "Dandelion-Deep", "1" });
+  }
+  return head;
+}
+
+http::Headers NativeTargetDialect::WriteHeaders(http::Headers aCallerHeaders,
+                                                const TargetCall& aCall) const
+{
+  aCallerHeaders.push_back({ "Host", aCall.authority_ });
+  aCallerHeaders.push_back({ "Deadline-Ms", std::to_string(ToMilliseconds(aCall.timeLeft_)) });
+  aCallerHeaders.push_back({ "Dandelion-Depth", std::to_string(aCall.depth_) });
+  return aCallerHeaders;
+}
+
+AnswerVerdict NativeTargetDialect::Judge(const http::Headers&,
+                                         const http::ResponseHead& aAnswer) const
+{
+  const bool isShed = aAnswer.status_ == kServiceUnavailable &&
+                      !http::FindHeader(aAnswer.headers_, kShedHeader).empty();
+  return isShed ? AnswerVerdict::kNotRun : AnswerVerdict::kOwn;
+}
+
+} // namespace dandelionstand::dialect
--- /dev/null
+++ b/src/dandelionstand/dialect/TargetDialect.cpp
@@ -0,0 +1,7 @@
+#include "dandelionstand/dialect/TargetDialect.h"
+
+namespace dandelionstand::dialect {
+
+TargetDialect::~TargetDialect() = default;
+
+} // namespace dandelionstand::dialect
--- /dev/null
+++ b/src/dandelionstand/http/Server.cpp
@@ -0,0 +1,116 @@
+#include "dandelionstand/http/Server.h"
+
+#include "dandelionstand/common/HttpServer.h"
+
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+namespace dandelionstand::http {
+
+namespace {
+
+//! Connections that the system holds until they are accepted.
+constexpr int kBacklog = 512;
+
+sockaddr_in SocketAddressOf(const common::Address& aAddress)
+{
+  common::HostAndPort parsed;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  if (!common::ParseAddress(aAddress.Get(), parsed) ||
+      inet_pton(AF_INET, parsed.host_.c_str(), &address.sin_addr) != 1) {
+    throw std::runtime_error("not an IP number and port: " + aAddress.Get());
+  }
+  address.sin_port = htons(parsed.port_);
+  return address;
+}
+
+common::Address BoundAddressOf(evconnlistener* aListener)
+{
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(evconnlistener_get_fd(aListener), reinterpret_cast<sockaddr*>(&address), &size);
+  char host[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
+  return common::Address(std::string(host) + ":" + std::to_string(ntohs(address.sin_port)));
+}
+
+} // namespace
+
+Server::Server(common::EventLoop& aLoop, const common::Address& aListen, Handlers aHandlers)
+  : loop_(aLoop)
+  , handlers_(std::move(aHandlers))
+{
+  const sockaddr_in address = SocketAddressOf(aListen);
+  listener_ = evconnlistener_new_bind(loop_.Base(),
+                                      &OnAccept,
+                                      this,
+                                      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                      kBacklog,
+                                      reinterpret_cast<const sockaddr*>(&address),
+                                      sizeof(address));
+  if (listener_ == nullptr) {
+    throw std::runtime_error("cannot listen at " + aListen.Get() + ": " + std::strerror(errno));
+  }
+  bound_ = BoundAddressOf(listener_);
+}
+
+Server::~Server()
+{
+  evconnlistener_free(listener_);
+}
+
+void Server::StartClosing()
+{
+  isClosing_ = true;
+  std::vector<ServerConnection*> connections;
+  connections.reserve(connections_.size());
+  for (const auto& entry : connections_) {
+    connections.push_back(entry.first);
+  }
+  for (ServerConnection* connection : connections) {
+    connection->StartClosing();
+  }
+}
+
+void Server::OnAccept(evconnlistener*, int aDescriptor, sockaddr*, int, void* aSelf)
+{
+  auto* self = static_cast<Server*>(aSelf);
+  const ServerConnection::Handlers handlers{ self->handlers_.onRequest_,
+                                             self->handlers_.onRejected_,
+                                             [self](ServerConnection& aConnection) {
+                                               self->OnClosed(aConnection);
+                                             },
+                                             self->handlers_.limits_ };
+  auto connection = std::make_unique<ServerConnection>(self->loop_, aDescriptor, handlers);
+  ServerConnection& added = *connection;
+  self->connections_.emplace(&added, std::move(connection));
+  if (self->isClosing_) {
+    added.CloseAfterNext();
+  }
+}
+
+void Server::OnClosed(ServerConnection& aConnection)
+{
+  auto closed = connections_.extract(&aConnection);
+  if (closed.empty()) {
+    return;
+  }
+  closed_.push_back(std::move(closed.mapped()));
+  if (!reaper_) {
+    reaper_ = loop_.After(common::Duration(0), [this] {
+      reaper_.reset();
+      closed_.clear();
+    });
+  }
+}
+
+} // namespace dandelionstand::http
--- a/src/dandelionstand/peer/MembershipTask.cpp
+++ b/src/dandelionstand/peer/MembershipTask.cpp
@@ -1,5 +1,6 @@
 #include "dandelionstand/peer/MembershipTask.h"
 
+#include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/peer/ControlSender.h"
 #include "dandelionstand/peer/Transport.h"
@@ -18,6 +19,7 @@
 
 const platform::StreamName kMembersStream("members");
 constexpr common::Duration kTick = 50ms;
+constexpr common::Duration kAppendAgain = 1s;
 
 } // namespace
 
@@ -119,32 +121,25 @@
     return;
   }
   isReadingJoins_ = true;
-  log_.Read(kMembersStream,
-            nextJoin_,
-            common::Duration(0),
-            [this](const platform::ReadResult& aResult) { OnJoinsRead(aResult); });
+  log_.ReadNewest(kMembersStream,
+                  [this](const platform::KeyedResult& aResult) { OnJoinsRead(aResult); });
 }
 
-void MembershipTask::OnJoinsRead(const platform::ReadResult& aResult)
+void MembershipTask::OnJoinsRead(const platform::KeyedResult& aResult)
 {
   isReadingJoins_ = false;
-  if (aResult.status_ == platform::LogStatus::kGap) {
-    nextJoin_ = aResult.first_;
-    ReadJoins();
-    return;
+  if (aResult.status_ != platform::LogStatus::kOk) {
+    return; // The log's client has reported it; the membership asks again while it has no peer.
   }
-  std::map<common::InstanceId, Member> latest;
-  for (const platform::Record& record : aResult.records_) {
+  JoinRecordsRead read;
+  for (const platform::KeyedRecord& record : aResult.records_) {
     wire::JoinRecord join;
     if (join.ParseFromString(record.data_)) {
-      const Member member = ParseMember(join.member());
-      latest[member.instance_] = member;
+      read.members_.push_back(ParseMember(join.member()));
+    } else {
+      common::LogEvent(
+        common::Severity::kWarn, "join_record_invalid", { { "instance", record.key_ } });
     }
-    nextJoin_ = common::Offset(record.offset_.Get() + 1);
-  }
-  JoinRecordsRead read;
-  for (const auto& [instance, member] : latest) {
-    read.members_.push_back(member);
   }
   Handle(read);
 }
@@ -153,7 +148,16 @@
 {
   wire::JoinRecord record;
   WriteMember(aSelf, *record.mutable_member());
-  log_.Append(kMembersStream, record.SerializeAsString(), [](const platform::AppendResult&) {});
+  log_.AppendKeyed(kMembersStream,
+                   aSelf.instance_.Get(),
+                   record.SerializeAsString(),
+                   [this, aSelf](const platform::AppendResult& aResult) {
+                     if (aResult.status_ == platform::LogStatus::kOk) {
+                       return;
+                     }
+                     // Nobody could find this daemon, so the record is written until it stands.
+                     appendAgain_ = loop_.After(kAppendAgain, [this, aSelf] { Append(aSelf); });
+                   });
 }
 
 } // namespace dandelionstand::peer
--- a/src/dandelionstand/peer/MembershipTask.h
+++ b/src/dandelionstand/peer/MembershipTask.h
@@ -17,7 +17,7 @@
 
 namespace dandelionstand::platform {
 class Log;
-struct ReadResult;
+struct KeyedResult;
 } // namespace dandelionstand::platform
 
 namespace dandelionstand::peer {
@@ -62,15 +62,15 @@
   void Perform(const MembershipAction& aAction);
   void OnReceived(const PeerRef& aFrom, const wire::Envelope& aEnvelope);
   void ReadJoins();
-  void OnJoinsRead(const platform::ReadResult& aResult);
+  void OnJoinsRead(const platform::KeyedResult& aResult);
   void Append(const Member& aSelf);
 
   common::EventLoop& loop_;
   ControlSender& sender_;
   platform::Log& log_;
   Membership membership_;
-  common::Offset nextJoin_{ 1 };
   bool isReadingJoins_ = false;
+  std::unique_ptr<common::Watch> appendAgain_;
   std::unique_ptr<common::Watch> tick_;
   sigc::signal<void> changed_;
 };
--- /dev/null
+++ b/src/dandelionstand/platform/ConfigDocument.cpp
@@ -0,0 +1,234 @@
+#include "dandelionstand/platform/ConfigDocument.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <cmath>
+#include <map>
+#include <optional>
+
+namespace dandelionstand::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kSource = "configuration document";
+constexpr int kHexBase = 16;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+//! One row of a table, by the names of its columns.
+using Row = std::map<std::string, const json*>;
+
+//! Reads values of a row; a wrong type is a finding at the row's place.
+class RowReader
+{
+public:
+  RowReader(Row aRow, std::string aPlace, common::Findings& aFindings)
+    : row_(std::move(aRow))
+    , place_(std::move(aPlace))
+    , findings_(aFindings)
+  {
+  }
+
+  std::string Text(const char* aName)
+  {
+    const json* value = Find(aName);
+    if (value == nullptr || !value->is_string()) {
+      Report(aName, "must be a text");
+      return "";
+    }
+    return value->get<std::string>();
+  }
+
+  double Number(const char* aName, double aDefault)
+  {
+    const json* value = Find(aName);
+    if (value == nullptr) {
+      return aDefault;
+    }
+    if (!value->is_number() || value->get<double>() < 0) {
+      Report(aName, "must be a number that is not negative");
+      return aDefault;
+    }
+    return value->get<double>();
+  }
+
+  common::Duration Seconds(const char* aName, common::Duration aDefault)
+  {
+    const double fallback = static_cast<double>(aDefault.count()) / kMicrosecondsPerSecond;
+    return common::Duration(std::llround(Number(aName, fallback) * kMicrosecondsPerSecond));
+  }
+
+  //! Null if the value is absent.
+  const json* Find(const char* aName) const
+  {
+    const auto found = row_.find(aName);
+    return found == row_.end() || found->second->is_null() ? nullptr : found->second;
+  }
+
+  void Report(const char* aName, const std::string& aMessage)
+  {
+    findings_.Add({ kSource, 0, place_ + "/" + aName }, aMessage);
+  }
+
+private:
+  Row row_;
+  std::string place_;
+  common::Findings& findings_;
+};
+
+//! Calls aRead for each row of a table that is written as column names and rows of values.
+template<typename Read>
+void ForEachRow(const json& aDocument, const char* aTable, common::Findings& aFindings, Read aRead)
+{
+  const json table = aDocument.value(aTable, json::object());
+  const json columns = table.is_object() ? table.value("columns", json::array()) : json::array();
+  const json rows = table.is_object() ? table.value("rows", json::array()) : json::array();
+  if (!columns.is_array() || columns.empty() || !rows.is_array()) {
+    aFindings.Add({ kSource, 0, std::string("/") + aTable }, "must have columns and rows");
+    return;
+  }
+  for (std::size_t index = 0; index < rows.size(); ++index) {
+    const std::string place = std::string("/") + aTable + "/rows/" + std::to_string(index);
+    if (!rows[index].is_array() || rows[index].size() > columns.size()) {
+      aFindings.Add({ kSource, 0, place }, "must have a value for each column");
+      continue;
+    }
+    Row row;
+    for (std::size_t column = 0; column < rows[index].size(); ++column) {
+      row[columns[column].is_string() ? columns[column].get<std::string>() : ""] =
+        &rows[index][column];
+    }
+    aRead(RowReader(std::move(row), place, aFindings));
+  }
+}
+
+std::optional<common::Version> DecodeVersion(const json& aDocument)
+{
+  if (!aDocument.contains("version") || !aDocument["version"].is_string()) {
+    return std::nullopt;
+  }
+  const std::string text = aDocument["version"].get<std::string>();
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, number, kHexBase);
+  if (result.ec != std::errc() || result.ptr != end || text.empty()) {
+    return std::nullopt;
+  }
+  return common::Version(number);
+}
+
+//! The kind of a route decides what may be repeated, and the class of its requests.
+void DecodeKind(RowReader& aRow, config::Route& aRoute)
+{
+  const std::string kind = aRow.Text("kind");
+  if (kind == "safe") {
+    aRoute.idempotency_ = config::Idempotency::kIdempotent;
+    aRoute.trafficClass_ = config::TrafficClass::kBrowse;
+  } else if (kind == "download") {
+    aRoute.idempotency_ = config::Idempotency::kIdempotent;
+    aRoute.trafficClass_ = config::TrafficClass::kDownload;
+  } else {
+    // Whatever is not known to be repeatable is not repeated.
+    aRoute.idempotency_ = config::Idempotency::kOnce;
+    aRoute.trafficClass_ = config::TrafficClass::kOrder;
+  }
+}
+
+std::vector<config::SplitPart> DecodeSplit(RowReader& aRow)
+{
+  std::vector<config::SplitPart> parts;
+  const json* split = aRow.Find("traffic-split");
+  if (split == nullptr) {
+    return parts;
+  }
+  for (const json& part : *split) {
+    const bool isPart = part.is_object() && part.contains("service") &&
+                        part["service"].is_string() && part.contains("weight") &&
+                        part["weight"].is_number() && part["weight"].get<double>() >= 0;
+    if (!isPart) {
+      aRow.Report("traffic-split", "must be a list of services with weights");
+      return {};
+    }
+    parts.push_back({ common::ServiceName(part["service"].get<std::string>()),
+                      static_cast<std::uint32_t>(std::lround(part["weight"].get<double>())) });
+  }
+  return parts;
+}
+
+config::Route DecodeRoute(RowReader& aRow)
+{
+  config::Route route;
+  route.host_ = aRow.Text("host");
+  route.pathPrefix_ = aRow.Text("path-prefix");
+  DecodeKind(aRow, route);
+  route.timeout_ = aRow.Seconds("timeout-s", route.timeout_);
+  route.objective_ = aRow.Seconds("target-latency-s", route.objective_);
+  route.priority_ = static_cast<std::uint32_t>(aRow.Number("priority", 0));
+  route.attempts_ = static_cast<std::uint32_t>(aRow.Number("max-attempts", 1));
+  route.split_ = DecodeSplit(aRow);
+  if (route.split_.empty()) {
+    route.endpoints_ = common::ServiceName(aRow.Text("service"));
+  }
+  return route;
+}
+
+std::optional<config::ClientLimits> DecodeClientLimits(const json& aDocument,
+                                                       common::Findings& aFindings)
+{
+  if (!aDocument.contains("limits") || !aDocument["limits"].is_object()) {
+    return std::nullopt;
+  }
+  Row row;
+  for (const auto& [name, value] : aDocument["limits"].items()) {
+    row[name] = &value;
+  }
+  RowReader reader(std::move(row), "/limits", aFindings);
+  config::ClientLimits limits;
+  limits.headBytes_ = static_cast<std::uint64_t>(
+    reader.Number("max-header-bytes", static_cast<double>(limits.headBytes_)));
+  limits.bodyBytes_ = static_cast<std::uint64_t>(
+    reader.Number("max-body-bytes", static_cast<double>(limits.bodyBytes_)));
+  limits.headTime_ = reader.Seconds("header-timeout-s", limits.headTime_);
+  limits.idleTime_ = reader.Seconds("idle-timeout-s", limits.idleTime_);
+  return limits;
+}
+
+} // namespace
+
+config::ConfigStatePtr DecodeConfigDocument(const std::string& aText, common::Findings& aFindings)
+{
+  const json document = json::parse(aText, nullptr, false);
+  if (!document.is_object()) {
+    aFindings.Add({ kSource, 0, "" }, "must be a JSON object");
+    return nullptr;
+  }
+  const std::optional<common::Version> version = DecodeVersion(document);
+  if (!version) {
+    aFindings.Add({ kSource, 0, "/version" }, "must be a hexadecimal number");
+    return nullptr;
+  }
+  config::ConfigState state;
+  state.version_ = *version;
+  ForEachRow(document, "services", aFindings, [&](RowReader aRow) {
+    const std::string name = aRow.Text("name");
+    // Slots come from the endpoints themselves; the service limits their connections.
+    config::Limits limits;
+    limits.connections_ =
+      static_cast<std::uint32_t>(aRow.Number("connection-limit", limits.connections_));
+    state.limits_[config::LimitsName(name)] = { limits, *version };
+    state.endpoints_[common::ServiceName(name)] = { { config::LimitsName(name) }, *version };
+  });
+  ForEachRow(document, "routes", aFindings, [&](RowReader aRow) {
+    const config::RouteName name(aRow.Text("name"));
+    state.routes_[name] = { DecodeRoute(aRow), *version };
+  });
+  state.clientLimits_ = DecodeClientLimits(document, aFindings);
+  if (!aFindings.IsEmpty()) {
+    return nullptr;
+  }
+  return std::make_shared<const config::ConfigState>(std::move(state));
+}
+
+} // namespace dandelionstand::platform
--- a/src/dandelionstand/platform/HttpClient.cpp
+++ b/src/dandelionstand/platform/HttpClient.cpp
@@ -96,7 +96,9 @@
     if (self->isEnded_) {
       return;
     }
-    if (!self->request_.onBody_) {
+    const bool isTaken =
+      self->request_.onBody_ != nullptr && evhttp_request_get_response_code(aRequest) == HTTP_OK;
+    if (!isTaken) {
       const std::size_t room = self->client_.settings_.maxBodyBytes_ - self->body_.size();
       self->body_.append(piece, 0, room);
     } else if (!self->request_.onBody_(piece)) {
--- a/src/dandelionstand/platform/HttpClient.h
+++ b/src/dandelionstand/platform/HttpClient.h
@@ -40,7 +40,7 @@
   std::map<std::string, std::string> headers_; //!< Besides Host.
   std::string body_;
   common::Duration timeout_{}; //!< From the call of Send to the end of the answer.
-  //! Takes the body in pieces instead of HttpAnswer::body_; false ends the answer early.
+  //! Takes the body of a 200 in pieces instead of HttpAnswer::body_; false ends the answer early.
   std::function<bool(std::string_view)> onBody_;
 };
 
--- /dev/null
+++ b/src/dandelionstand/platform/HttpDialect.cpp
@@ -0,0 +1,133 @@
+#include "dandelionstand/platform/HttpDialect.h"
+
+#include "dandelionstand/common/HttpHeaders.h"
+#include "dandelionstand/dialect/NativeDialect.h"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace dandelionstand::platform {
+
+namespace {
+
+using dialect::AnswerVerdict;
+
+//! One client attempt; a client's next attempt has another id.
+constexpr const char* kRequestId = "X-Dandelionstand-Request-Id";
+//! How long the client will still wait when it sends, in ms.
+constexpr const char* kDeadline = "X-Dandelionstand-Deadline-Milliseconds";
+//! The service on the machine where the request began.
+constexpr const char* kCallerService = "X-Dandelionstand-Caller-Service";
+//! The id of one start of an endpoint; any other one refuses the request.
+constexpr const char* kExpectedInstance = "X-Dandelionstand-Expected-Instance";
+constexpr const char* kNotExecuted = "X-Dandelionstand-Not-Executed";
+//! Covers status and body of an endpoint's answer.
+constexpr const char* kSignature = "X-Dandelionstand-Response-Signature";
+
+constexpr std::uint32_t kMisdirected = 421;
+constexpr std::uint32_t kFirstSuccess = 200;
+constexpr std::uint32_t kFirstRedirect = 300;
+
+//! Headers that the system sets itself, whatever a client sent.
+constexpr std::array<const char*, 4> kSetByUs = { kDeadline,
+                                                  kCallerService,
+                                                  kExpectedInstance,
+                                                  kNotExecuted };
+
+bool IsSetByUs(const std::string& aName)
+{
+  for (const char* own : kSetByUs) {
+    if (common::EqualsIgnoringCase(aName, own)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::uint64_t ToMilliseconds(common::Duration aDuration)
+{
+  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+  return count < 0 ? 0 : static_cast<std::uint64_t>(count);
+}
+
+std::string SecondsText(common::Duration aDuration)
+{
+  constexpr std::size_t kSize = 32;
+  char text[kSize];
+  std::snprintf(text, sizeof(text), "%.3f", std::chrono::duration<double>(aDuration).count());
+  return text;
+}
+
+} // namespace
+
+HttpCallerDialect::HttpCallerDialect(common::ServiceName aService)
+  : service_(std::move(aService))
+{
+}
+
+dialect::CallerRequest HttpCallerDialect::Read(http::Request aRequest) const
+{
+  dialect::CallerRequest result;
+  result.id_ = http::FindHeader(aRequest.headers_, kRequestId);
+  result.method_ = std::move(aRequest.method_);
+  result.host_ = http::FindHeader(aRequest.headers_, "Host");
+  result.path_ = aRequest.Path();
+  result.target_ = std::move(aRequest.target_);
+  result.body_ = std::move(aRequest.body_);
+  for (http::Header& header : dialect::EndToEndHeaders(aRequest.headers_)) {
+    if (!IsSetByUs(header.name_)) {
+      result.headers_.push_back(std::move(header));
+    }
+  }
+  result.headers_.push_back({ "Host", result.host_ });
+  result.headers_.push_back({ kCallerService, service_.Get() });
+  const std::string_view deadline = http::FindHeader(aRequest.headers_, kDeadline);
+  if (!deadline.empty()) {
+    std::uint32_t milliseconds = 0;
+    result.isValid_ = dialect::ParseNumber(deadline.substr(0, deadline.find('.')), milliseconds);
+    result.timeLeft_ = std::chrono::milliseconds(milliseconds);
+  }
+  return result;
+}
+
+http::ResponseHead HttpCallerDialect::WriteRefusal(const dialect::Refusal& aRefusal) const
+{
+  http::ResponseHead head{ aRefusal.status_, { { "Content-Type", "text/plain" } } };
+  if (aRefusal.retryAfter_) {
+    head.headers_.push_back({ "Retry-After", SecondsText(*aRefusal.retryAfter_) });
+  }
+  return head;
+}
+
+http::Headers HttpTargetDialect::WriteHeaders(http::Headers aCallerHeaders,
+                                              const dialect::TargetCall& aCall) const
+{
+  aCallerHeaders.push_back({ kDeadline, std::to_string(ToMilliseconds(aCall.timeLeft_)) });
+  if (!aCall.expectedInstance_.empty()) {
+    aCallerHeaders.push_back({ kExpectedInstance, aCall.expectedInstance_ });
+  }
+  return aCallerHeaders;
+}
+
+AnswerVerdict HttpTargetDialect::Judge(const http::Headers& aSent,
+                                       const http::ResponseHead& aAnswer) const
+{
+  const std::string_view sentId = http::FindHeader(aSent, kRequestId);
+  const std::string_view answeredId = http::FindHeader(aAnswer.headers_, kRequestId);
+  if (!answeredId.empty() && answeredId != sentId) {
+    return AnswerVerdict::kForeign;
+  }
+  if (aAnswer.status_ == kMisdirected) {
+    return AnswerVerdict::kMisplaced;
+  }
+  if (!http::FindHeader(aAnswer.headers_, kNotExecuted).empty()) {
+    return AnswerVerdict::kNotRun;
+  }
+  const bool isSuccess = aAnswer.status_ >= kFirstSuccess && aAnswer.status_ < kFirstRedirect;
+  const bool isSigned = !http::FindHeader(aAnswer.headers_, kSignature).empty();
+  const bool isOwn = !answeredId.empty() && (isSigned || !isSuccess);
+  return isOwn ? AnswerVerdict::kOwn : AnswerVerdict::kInvalid;
+}
+
+} // namespace dandelionstand::platform
--- a/src/dandelionstand/platform/HttpLog.cpp
+++ b/src/dandelionstand/platform/HttpLog.cpp
@@ -1,12 +1,14 @@
 #include "dandelionstand/platform/HttpLog.h"
 
 #include "dandelionstand/common/EventLog.h"
+#include "dandelionstand/platform/Base64.h"
 #include "dandelionstand/platform/RecordFrames.h"
 
+#include <event2/http.h>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <chrono>
+#include <cstdlib>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -22,39 +24,60 @@
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusTooManyRequests = 429;
 
-std::string RecordsTarget(const StreamName& aStream)
+//! The service counts offsets from 0, the product from 1.
+constexpr std::uint64_t kFirstOffset = 1;
+//! Most of the newest-records answer's body that is kept; the service ends a page at 1 MB of
+//! values, which are written in base64.
+constexpr std::size_t kMaxPageBytes = std::size_t{ 4 } * 1024 * 1024;
+const std::string kKeyedPrefix = "keyed.";
+
+//! The call of the service on the only partition that a stream has.
+std::string TargetOf(const char* aCall, const std::string& aTopic)
 {
-  return "/v1/streams/" + aStream.Get() + "/records";
+  return std::string("/dandelionstand/") + aCall + "?topic=" + aTopic + "&part=0";
 }
 
-std::optional<std::uint64_t> ParseNumber(const std::string& aText)
+std::string KeyedTopic(const StreamName& aStream)
 {
-  std::uint64_t number = 0;
-  const char* const end = aText.data() + aText.size();
-  const auto [stop, error] = std::from_chars(aText.data(), end, number);
-  if (error != std::errc() || stop != end) {
-    return std::nullopt;
-  }
-  return number;
+  return kKeyedPrefix + aStream.Get();
 }
 
-std::optional<common::Offset> OffsetHeader(const HttpAnswer& aAnswer, const char* aName)
+std::optional<common::Offset> OffsetInBody(const nlohmann::json& aBody, const char* aName)
 {
-  const auto header = aAnswer.headers_.find(aName);
-  if (header == aAnswer.headers_.end()) {
+  if (!aBody.is_object() || !aBody.contains(aName) || !aBody[aName].is_number_unsigned()) {
     return std::nullopt;
   }
-  const std::optional<std::uint64_t> number = ParseNumber(header->second);
-  return number ? std::optional(common::Offset(*number)) : std::nullopt;
+  return common::Offset(aBody[aName].get<std::uint64_t>() + kFirstOffset);
+}
+
+std::optional<common::Offset> OffsetInBody(const std::string& aBody, const char* aName)
+{
+  return OffsetInBody(nlohmann::json::parse(aBody, nullptr, false), aName);
 }
 
-std::optional<common::Offset> OffsetInBody(const std::string& aBody)
+//! The newest record that an item of a page holds; none if the item is malformed.
+std::optional<KeyedRecord> RecordOf(const nlohmann::json& aItem)
 {
-  const nlohmann::json body = nlohmann::json::parse(aBody, nullptr, false);
-  if (!body.is_object() || !body.contains("offset") || !body["offset"].is_number_unsigned()) {
+  const std::optional<common::Offset> offset = OffsetInBody(aItem, "offset");
+  if (!offset || !aItem.contains("key") || !aItem["key"].is_string() || !aItem.contains("value") ||
+      !aItem["value"].is_string()) {
+    return std::nullopt;
+  }
+  KeyedRecord record;
+  record.key_ = aItem["key"].get<std::string>();
+  record.offset_ = *offset;
+  if (!DecodeBase64(aItem["value"].get<std::string>(), record.data_)) {
     return std::nullopt;
   }
-  return common::Offset(body["offset"].get<std::uint64_t>());
+  return record;
+}
+
+std::string EscapeQuery(const std::string& aText)
+{
+  char* escaped = evhttp_uriencode(aText.data(), static_cast<ev_ssize_t>(aText.size()), 0);
+  std::string result = escaped == nullptr ? "" : escaped;
+  std::free(escaped);
+  return result;
 }
 
 const char* ToText(LogStatus aStatus)
@@ -122,51 +145,77 @@
 class HttpLog::Reading
 {
 public:
-  Reading(StreamName aStream, FrameReader aFrames)
-    : stream_(std::move(aStream))
+  Reading(std::string aTopic, FrameReader aFrames)
+    : topic_(std::move(aTopic))
     , frames_(std::move(aFrames))
   {
   }
 
-  StreamName stream_;
+  std::string topic_;
   FrameReader frames_;
 };
 
+struct HttpLog::Pages
+{
+  std::string topic_;
+  std::string after_; //!< The last key of the page before.
+  KeyedResult result_;
+  KeyedCallback callback_;
+};
+
 HttpLog::HttpLog(common::EventLoop& aLoop, HttpLogSettings aSettings, common::Counters& aCounters)
   : loop_(aLoop)
   , settings_(std::move(aSettings))
   , counters_(aCounters)
-  , client_(aLoop, { .address_ = settings_.address_, .sourceAddress_ = settings_.sourceAddress_ })
+  , client_(aLoop,
+            { .address_ = settings_.address_,
+              .sourceAddress_ = settings_.sourceAddress_,
+              .maxBodyBytes_ = kMaxPageBytes })
 {
 }
 
 void HttpLog::Append(const StreamName& aStream, std::string aData, AppendCallback aCallback)
 {
-  if (aData.size() > kMaxRecordBytes) {
-    RefuseAppend(aStream, LogStatus::kRejected, std::move(aCallback));
+  AppendTo(aStream.Get(), aData, std::move(aCallback));
+}
+
+void HttpLog::AppendKeyed(const StreamName& aStream,
+                          const std::string& aKey,
+                          const std::string& aData,
+                          AppendCallback aCallback)
+{
+  AppendTo(KeyedTopic(aStream), JoinKey(aKey, aData), std::move(aCallback));
+}
+
+void HttpLog::AppendTo(const std::string& aTopic,
+                       const std::string& aRecord,
+                       AppendCallback aCallback)
+{
+  if (aRecord.size() > kMaxRecordBytes) {
+    RefuseAppend(aTopic, LogStatus::kRejected, std::move(aCallback));
     return;
   }
   if (IsFull()) {
-    RefuseAppend(aStream, LogStatus::kOverloaded, std::move(aCallback));
+    RefuseAppend(aTopic, LogStatus::kOverloaded, std::move(aCallback));
     return;
   }
   HttpRequest request;
   request.method_ = HttpMethod::kPost;
-  request.target_ = RecordsTarget(aStream);
-  request.body_ = std::move(aData);
+  request.target_ = TargetOf("log-append", aTopic);
+  AppendFrame(aRecord, request.body_);
   request.timeout_ = settings_.timeout_;
   client_.Send(std::move(request),
-               [this, aStream, callback = std::move(aCallback)](const HttpAnswer& aAnswer) {
-                 callback(ToAppendResult(aStream, aAnswer));
+               [this, aTopic, callback = std::move(aCallback)](const HttpAnswer& aAnswer) {
+                 callback(ToAppendResult(aTopic, aAnswer));
                });
 }
 
-void HttpLog::RefuseAppend(const StreamName& aStream, LogStatus aStatus, AppendCallback aCallback)
+void HttpLog::RefuseAppend(const std::string& aTopic, LogStatus aStatus, AppendCallback aCallback)
 {
   Count("appends", aStatus);
   common::LogEvent(common::Severity::kError,
                    "log_append_refused",
-                   { { "stream", aStream.Get() }, { "status", ToText(aStatus) } });
+                   { { "stream", aTopic }, { "status", ToText(aStatus) } });
   loop_.Post([aStatus, callback = std::move(aCallback)]() {
     callback({ .status_ = aStatus, .offset_ = {} });
   });
@@ -176,6 +225,36 @@
                    common::Offset aFrom,
                    common::Duration aWait,
                    ReadCallback aCallback)
+{
+  ReadFrom(aStream.Get(), aFrom, aWait, std::move(aCallback));
+}
+
+void HttpLog::ReadKeyed(const StreamName& aStream,
+                        common::Offset aFrom,
+                        common::Duration aWait,
+                        KeyedCallback aCallback)
+{
+  const std::string topic = KeyedTopic(aStream);
+  ReadFrom(
+    topic, aFrom, aWait, [this, topic, callback = std::move(aCallback)](const ReadResult& aResult) {
+      KeyedResult keyed{ aResult.status_, {}, aResult.next_ };
+      for (const Record& record : aResult.records_) {
+        KeyedRecord split{ "", "", record.offset_ };
+        keyed.next_ = common::Offset(record.offset_.Get() + 1);
+        if (SplitKey(record.data_, split.key_, split.data_)) {
+          keyed.records_.push_back(std::move(split));
+        } else {
+          ReportMalformed(topic, "record without a key");
+        }
+      }
+      callback(keyed);
+    });
+}
+
+void HttpLog::ReadFrom(const std::string& aTopic,
+                       common::Offset aFrom,
+                       common::Duration aWait,
+                       ReadCallback aCallback)
 {
   if (IsFull()) {
     Count("reads", LogStatus::kOverloaded);
@@ -184,11 +263,12 @@
     });
     return;
   }
-  auto reading = std::make_shared<Reading>(
-    aStream, FrameReader(aFrom, kMaxRecordBytes, settings_.maxReadBytes_));
+  auto reading =
+    std::make_shared<Reading>(aTopic, FrameReader(aFrom, kMaxRecordBytes, settings_.maxReadBytes_));
   HttpRequest request;
-  request.target_ = RecordsTarget(aStream) + "?from=" + std::to_string(aFrom.Get()) +
-                    "&wait_ms=" + std::to_string(ToMilliseconds(aWait));
+  request.target_ = TargetOf("log-read", aTopic) +
+                    "&from=" + std::to_string(aFrom.Get() - kFirstOffset) +
+                    "&wait-ms=" + std::to_string(ToMilliseconds(aWait));
   request.timeout_ = settings_.timeout_ + aWait;
   request.onBody_ = [reading](std::string_view aPiece) { return reading->frames_.Feed(aPiece); };
   client_.Send(std::move(request),
@@ -197,16 +277,78 @@
                });
 }
 
-AppendResult HttpLog::ToAppendResult(const StreamName& aStream, const HttpAnswer& aAnswer)
+void HttpLog::ReadNewest(const StreamName& aStream, KeyedCallback aCallback)
+{
+  auto pages = std::make_shared<Pages>();
+  pages->topic_ = KeyedTopic(aStream);
+  pages->callback_ = std::move(aCallback);
+  if (IsFull()) {
+    Count("reads", LogStatus::kOverloaded);
+    pages->result_.status_ = LogStatus::kOverloaded;
+    loop_.Post([pages] { pages->callback_(pages->result_); });
+    return;
+  }
+  ReadPage(pages);
+}
+
+void HttpLog::ReadPage(const std::shared_ptr<Pages>& aPages)
+{
+  HttpRequest request;
+  request.target_ = TargetOf("log-newest", aPages->topic_);
+  if (!aPages->after_.empty()) {
+    request.target_ += "&after=" + EscapeQuery(aPages->after_);
+  }
+  request.timeout_ = settings_.timeout_;
+  client_.Send(std::move(request),
+               [this, aPages](const HttpAnswer& aAnswer) { OnPage(aPages, aAnswer); });
+}
+
+void HttpLog::OnPage(const std::shared_ptr<Pages>& aPages, const HttpAnswer& aAnswer)
+{
+  KeyedResult& result = aPages->result_;
+  result.status_ = ToLogStatus(aAnswer);
+  Count("reads", result.status_);
+  if (result.status_ != LogStatus::kOk) {
+    ReportFailure("newest", aPages->topic_, result.status_, aAnswer);
+    aPages->callback_(result);
+    return;
+  }
+  const nlohmann::json page = nlohmann::json::parse(aAnswer.body_, nullptr, false);
+  const std::optional<common::Offset> next = OffsetInBody(page, "end-offset");
+  if (!next || !page.contains("items") || !page["items"].is_array()) {
+    ReportMalformed(aPages->topic_, "newest records without items or end");
+    result.status_ = LogStatus::kUnavailable;
+    aPages->callback_(result);
+    return;
+  }
+  // Pages are no snapshot: what is newer than the first page is read again from there.
+  result.next_ = result.next_.Get() == 0 ? *next : result.next_;
+  for (const nlohmann::json& item : page["items"]) {
+    if (const std::optional<KeyedRecord> record = RecordOf(item)) {
+      aPages->after_ = record->key_;
+      result.records_.push_back(*record);
+    } else {
+      ReportMalformed(aPages->topic_, "malformed item");
+    }
+  }
+  const bool hasMore = page.value("more", false) && !page["items"].empty();
+  if (hasMore) {
+    ReadPage(aPages);
+  } else {
+    aPages->callback_(result);
+  }
+}
+
+AppendResult HttpLog::ToAppendResult(const std::string& aTopic, const HttpAnswer& aAnswer)
 {
   AppendResult result;
   result.status_ = ToLogStatus(aAnswer);
   if (result.status_ != LogStatus::kOk) {
-    ReportFailure("append", aStream, result.status_, aAnswer);
-  } else if (const std::optional<common::Offset> offset = OffsetInBody(aAnswer.body_)) {
+    ReportFailure("append", aTopic, result.status_, aAnswer);
+  } else if (const auto offset = OffsetInBody(aAnswer.body_, "offset")) {
     result.offset_ = *offset;
   } else {
-    ReportMalformed(aStream, "append answer without an offset");
+    ReportMalformed(aTopic, "append answer without an offset");
     result.status_ = LogStatus::kUnavailable;
   }
   Count("appends", result.status_);
@@ -218,47 +360,46 @@
   ReadResult result;
   result.status_ = ToLogStatus(aAnswer);
   if (result.status_ != LogStatus::kOk) {
-    ReportFailure("read", aReading.stream_, result.status_, aAnswer);
+    ReportFailure("read", aReading.topic_, result.status_, aAnswer);
   }
-  const bool hasOffsets = result.status_ == LogStatus::kOk || result.status_ == LogStatus::kGap;
-  const bool hasRecords = result.status_ == LogStatus::kOk;
-  if ((hasOffsets && !ReadOffsets(aReading, aAnswer, result)) ||
-      (hasRecords && !TakeRecords(aReading, aAnswer, result))) {
+  if ((result.status_ == LogStatus::kGap && !ReadGap(aReading, aAnswer, result)) ||
+      (result.status_ == LogStatus::kOk && !TakeRecords(aReading, aAnswer, result))) {
     result = ReadResult();
   }
   Count("reads", result.status_);
   return result;
 }
 
-bool HttpLog::ReadOffsets(const Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult)
+bool HttpLog::ReadGap(const Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult)
 {
-  const std::optional<common::Offset> first = OffsetHeader(aAnswer, "log-first");
-  const std::optional<common::Offset> next = OffsetHeader(aAnswer, "log-next");
-  if (!first || !next || *first > *next) {
-    ReportMalformed(aReading.stream_, "answer without valid Log-First and Log-Next");
+  const std::optional<common::Offset> first = OffsetInBody(aAnswer.body_, "first-offset");
+  if (!first) {
+    ReportMalformed(aReading.topic_, "gap without the first offset");
     return false;
   }
   aResult.first_ = *first;
-  aResult.next_ = *next;
+  // The answer need not name the end; the first kept record is the least that it can be.
+  aResult.next_ = OffsetInBody(aAnswer.body_, "end-offset").value_or(*first);
   return true;
 }
 
 bool HttpLog::TakeRecords(Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult)
 {
-  const bool isCut = aAnswer.outcome_ == HttpOutcome::kAnswered && !aReading.frames_.IsAtFrameEnd();
-  aResult.records_ = aReading.frames_.TakeRecords();
-  const bool isBeyondEnd =
-    !aResult.records_.empty() && aResult.records_.back().offset_ >= aResult.next_;
-  if (aReading.frames_.IsMalformed() || isCut || isBeyondEnd) {
-    ReportMalformed(aReading.stream_, "malformed record frames");
+  const FrameReader& frames = aReading.frames_;
+  const bool isCut = aAnswer.outcome_ == HttpOutcome::kAnswered && !frames.IsAtFrameEnd();
+  if (frames.IsMalformed() || isCut) {
+    ReportMalformed(aReading.topic_, "malformed record frames");
     return false;
   }
-  if (const std::uint64_t oversized = aReading.frames_.OversizedCount(); oversized > 0) {
+  aResult.records_ = aReading.frames_.TakeRecords();
+  aResult.first_ = frames.First();
+  aResult.next_ = frames.Next();
+  if (const std::uint64_t oversized = frames.OversizedCount(); oversized > 0) {
     counters_.Add("log_oversized_records_total", oversized);
-    common::LogEvent(common::Severity::kError,
-                     "log_record_oversized",
-                     { { "stream", aReading.stream_.Get() },
-                       { "offset", aResult.records_.back().offset_.Get() } });
+    common::LogEvent(
+      common::Severity::kError,
+      "log_record_oversized",
+      { { "stream", aReading.topic_ }, { "offset", aResult.records_.back().offset_.Get() } });
   }
   return true;
 }
@@ -269,25 +410,25 @@
 }
 
 void HttpLog::ReportFailure(const char* aRequest,
-                            const StreamName& aStream,
+                            const std::string& aTopic,
                             LogStatus aStatus,
                             const HttpAnswer& aAnswer)
 {
   common::LogEvent(common::Severity::kWarn,
                    "log_request_failed",
                    { { "request", aRequest },
-                     { "stream", aStream.Get() },
+                     { "stream", aTopic },
                      { "status", ToText(aStatus) },
                      { "http_status", static_cast<std::uint64_t>(aAnswer.status_) },
                      { "reason", ToText(aAnswer.outcome_) } });
 }
 
-void HttpLog::ReportMalformed(const StreamName& aStream, const char* aReason)
+void HttpLog::ReportMalformed(const std::string& aTopic, const char* aReason)
 {
   counters_.Add("log_malformed_answers_total");
   common::LogEvent(common::Severity::kError,
                    "log_answer_malformed",
-                   { { "stream", aStream.Get() }, { "reason", aReason } });
+                   { { "stream", aTopic }, { "reason", aReason } });
 }
 
 } // namespace dandelionstand::platform
--- a/src/dandelionstand/platform/HttpLog.h
+++ b/src/dandelionstand/platform/HttpLog.h
@@ -6,6 +6,7 @@
 #include "dandelionstand/platform/Log.h"
 
 #include <cstddef>
+#include <memory>
 #include <string>
 
 namespace dandelionstand::platform {
@@ -22,7 +23,8 @@
   std::size_t maxRunning_ = 64;
 };
 
-//! The log service over HTTP. Every failure is counted and logged. Counters: `log_appends_total`
+//! The log service over HTTP. A stream is partition 0 of the topic of its name; a keyed stream that
+//! of the topic `keyed.NAME`. Every failure is counted and logged. Counters: `log_appends_total`
 //! and `log_reads_total` by outcome, `log_oversized_records_total`, `log_malformed_answers_total`.
 class HttpLog : public Log
 {
@@ -34,24 +36,43 @@
             common::Offset aFrom,
             common::Duration aWait,
             ReadCallback aCallback) override;
+  void AppendKeyed(const StreamName& aStream,
+                   const std::string& aKey,
+                   const std::string& aData,
+                   AppendCallback aCallback) override;
+  void ReadKeyed(const StreamName& aStream,
+                 common::Offset aFrom,
+                 common::Duration aWait,
+                 KeyedCallback aCallback) override;
+  void ReadNewest(const StreamName& aStream, KeyedCallback aCallback) override;
 
 private:
   class Reading;
 
+  //! Records of the pages of a newest-records read so far.
+  struct Pages;
+
   bool IsFull() const { return client_.RunningCount() >= settings_.maxRunning_; }
-  void RefuseAppend(const StreamName& aStream, LogStatus aStatus, AppendCallback aCallback);
-  AppendResult ToAppendResult(const StreamName& aStream, const HttpAnswer& aAnswer);
+  void AppendTo(const std::string& aTopic, const std::string& aRecord, AppendCallback aCallback);
+  void ReadFrom(const std::string& aTopic,
+                common::Offset aFrom,
+                common::Duration aWait,
+                ReadCallback aCallback);
+  void ReadPage(const std::shared_ptr<Pages>& aPages);
+  void OnPage(const std::shared_ptr<Pages>& aPages, const HttpAnswer& aAnswer);
+  void RefuseAppend(const std::string& aTopic, LogStatus aStatus, AppendCallback aCallback);
+  AppendResult ToAppendResult(const std::string& aTopic, const HttpAnswer& aAnswer);
   ReadResult ToReadResult(Reading& aReading, const HttpAnswer& aAnswer);
-  //! Sets the offsets of a result from the headers; false if they are malformed.
-  bool ReadOffsets(const Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult);
+  //! Sets the first kept offset of a gap; false if the answer does not name it.
+  bool ReadGap(const Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult);
   //! Moves the records into the result; false if their frames are malformed.
   bool TakeRecords(Reading& aReading, const HttpAnswer& aAnswer, ReadResult& aResult);
   void Count(const char* aRequest, LogStatus aStatus);
   void ReportFailure(const char* aRequest,
-                     const StreamName& aStream,
+                     const std::string& aTopic,
                      LogStatus aStatus,
                      const HttpAnswer& aAnswer);
-  void ReportMalformed(const StreamName& aStream, const char* aReason);
+  void ReportMalformed(const std::string& aTopic, const char* aReason);
 
   common::EventLoop& loop_;
   HttpLogSettings settings_;
--- a/src/dandelionstand/platform/Log.h
+++ b/src/dandelionstand/platform/Log.h
@@ -35,6 +35,23 @@
   bool operator==(const Record&) const = default;
 };
 
+//! A record of a keyed stream, which keeps the newest record of each key for good.
+struct KeyedRecord
+{
+  std::string key_;
+  std::string data_;
+  common::Offset offset_;
+
+  bool operator==(const KeyedRecord&) const = default;
+};
+
+struct KeyedResult
+{
+  LogStatus status_ = LogStatus::kUnavailable;
+  std::vector<KeyedRecord> records_;
+  common::Offset next_; //!< Where to read on (valid if kOk).
+};
+
 struct AppendResult
 {
   LogStatus status_ = LogStatus::kUnavailable;
@@ -55,6 +72,7 @@
 public:
   using AppendCallback = std::function<void(const AppendResult&)>;
   using ReadCallback = std::function<void(const ReadResult&)>;
+  using KeyedCallback = std::function<void(const KeyedResult&)>;
 
   virtual ~Log();
 
@@ -66,6 +84,21 @@
                     common::Offset aFrom,
                     common::Duration aWait,
                     ReadCallback aCallback) = 0;
+
+  //! Appends a record with a key to a keyed stream.
+  virtual void AppendKeyed(const StreamName& aStream,
+                           const std::string& aKey,
+                           const std::string& aData,
+                           AppendCallback aCallback) = 0;
+
+  //! As Read, of a keyed stream. kGap: read the newest records instead.
+  virtual void ReadKeyed(const StreamName& aStream,
+                         common::Offset aFrom,
+                         common::Duration aWait,
+                         KeyedCallback aCallback) = 0;
+
+  //! Reads the newest record of every key.
+  virtual void ReadNewest(const StreamName& aStream, KeyedCallback aCallback) = 0;
 };
 
 } // namespace dandelionstand::platform
--- a/src/dandelionstand/platform/RecordFrames.cpp
+++ b/src/dandelionstand/platform/RecordFrames.cpp
@@ -9,7 +9,9 @@
 
 constexpr std::size_t kOffsetBytes = 8;
 constexpr std::size_t kLengthBytes = 4;
-constexpr std::size_t kHeadBytes = kOffsetBytes + kLengthBytes;
+constexpr std::size_t kHeadBytes = 2 * kOffsetBytes;
+//! The service counts offsets from 0, the product from 1.
+constexpr std::uint64_t kFirstOffset = 1;
 constexpr unsigned kBitsPerByte = 8;
 
 void AppendBigEndian(std::uint64_t aValue, std::size_t aBytes, std::string& aOut)
@@ -30,17 +32,44 @@
 
 } // namespace
 
-void AppendFrame(const Record& aRecord, std::string& aOut)
+void AppendFrame(std::string_view aRecord, std::string& aOut)
 {
-  AppendBigEndian(aRecord.offset_.Get(), kOffsetBytes, aOut);
-  AppendBigEndian(aRecord.data_.size(), kLengthBytes, aOut);
-  aOut += aRecord.data_;
+  AppendBigEndian(aRecord.size(), kLengthBytes, aOut);
+  aOut += aRecord;
+}
+
+void AppendReadHead(std::uint64_t aEnd, std::uint64_t aFirst, std::string& aOut)
+{
+  AppendBigEndian(aEnd, kOffsetBytes, aOut);
+  AppendBigEndian(aFirst, kOffsetBytes, aOut);
+}
+
+std::string JoinKey(std::string_view aKey, std::string_view aValue)
+{
+  std::string record(1, static_cast<char>(aKey.size()));
+  record += aKey;
+  record += aValue;
+  return record;
+}
+
+bool SplitKey(std::string_view aRecord, std::string& aKey, std::string& aValue)
+{
+  if (aRecord.empty()) {
+    return false;
+  }
+  const std::size_t size = static_cast<unsigned char>(aRecord.front());
+  if (aRecord.size() < 1 + size) {
+    return false;
+  }
+  aKey = aRecord.substr(1, size);
+  aValue = aRecord.substr(1 + size);
+  return true;
 }
 
 FrameReader::FrameReader(common::Offset aFrom,
                          std::size_t aMaxRecordBytes,
                          std::size_t aMaxTotalBytes)
-  : leastOffset_(aFrom.Get())
+  : nextOffset_(aFrom.Get())
   , maxRecordBytes_(aMaxRecordBytes)
   , maxTotalBytes_(aMaxTotalBytes)
 {
@@ -49,19 +78,27 @@
 bool FrameReader::Feed(std::string_view aBytes)
 {
   while (!aBytes.empty() && !isMalformed_ && !isFull_) {
-    const bool isInHead = bytesLeft_ == 0;
-    const std::size_t wanted = isInHead ? kHeadBytes - head_.size() : bytesLeft_;
-    const std::string_view piece = aBytes.substr(0, wanted);
+    if (bytesLeft_ > 0) {
+      const std::string_view piece = aBytes.substr(0, bytesLeft_);
+      aBytes.remove_prefix(piece.size());
+      record_.data_ += piece;
+      bytesLeft_ -= piece.size();
+      if (bytesLeft_ == 0) {
+        EndRecord();
+      }
+      continue;
+    }
+    const std::size_t whole = hasHead_ ? kLengthBytes : kHeadBytes;
+    const std::string_view piece = aBytes.substr(0, whole - head_.size());
     aBytes.remove_prefix(piece.size());
-    if (isInHead) {
-      head_ += piece;
-      ReadHead();
+    head_ += piece;
+    if (head_.size() < whole) {
       continue;
     }
-    record_.data_ += piece;
-    bytesLeft_ -= piece.size();
-    if (bytesLeft_ == 0) {
-      EndRecord();
+    if (hasHead_) {
+      ReadLength();
+    } else {
+      ReadHead();
     }
   }
   return !isMalformed_ && !isFull_;
@@ -69,16 +106,23 @@
 
 void FrameReader::ReadHead()
 {
-  if (head_.size() < kHeadBytes) {
-    return;
-  }
   const std::string_view head = head_;
-  record_.offset_ = common::Offset(ReadBigEndian(head.substr(0, kOffsetBytes)));
-  bytesLeft_ = ReadBigEndian(head.substr(kOffsetBytes));
+  const std::uint64_t end = ReadBigEndian(head.substr(0, kOffsetBytes));
+  const std::uint64_t first = ReadBigEndian(head.substr(kOffsetBytes));
   head_.clear();
+  hasHead_ = true;
   // The greatest number has no successor, so it cannot be an offset either.
-  const std::uint64_t offset = record_.offset_.Get();
-  isMalformed_ = offset < leastOffset_ || offset == std::numeric_limits<std::uint64_t>::max();
+  isMalformed_ = first > end || end == std::numeric_limits<std::uint64_t>::max();
+  first_ = common::Offset(first + kFirstOffset);
+  next_ = common::Offset(end + kFirstOffset);
+}
+
+void FrameReader::ReadLength()
+{
+  bytesLeft_ = ReadBigEndian(head_);
+  head_.clear();
+  record_.offset_ = common::Offset(nextOffset_);
+  isMalformed_ = record_.offset_ >= next_;
   if (isMalformed_) {
     return;
   }
@@ -94,8 +138,8 @@
 
 void FrameReader::EndRecord()
 {
-  leastOffset_ = record_.offset_.Get() + 1;
-  totalBytes_ += kHeadBytes + record_.data_.size();
+  ++nextOffset_;
+  totalBytes_ += kLengthBytes + record_.data_.size();
   isFull_ = isFull_ || totalBytes_ >= maxTotalBytes_;
   records_.push_back(std::exchange(record_, {}));
 }
--- a/src/dandelionstand/platform/RecordFrames.h
+++ b/src/dandelionstand/platform/RecordFrames.h
@@ -11,11 +11,20 @@
 
 namespace dandelionstand::platform {
 
-//! Appends one record in the form that the log service answers with: 8 bytes of offset and 4 bytes
-//! of length, both big-endian, and the record itself.
-void AppendFrame(const Record& aRecord, std::string& aOut);
+//! Appends a record as it goes into the body of an append, and comes in the answer to a read: 4
+//! bytes of length, big-endian, and the record itself.
+void AppendFrame(std::string_view aRecord, std::string& aOut);
 
-//! Takes the frames of an answer apart as its bytes arrive, with bounded memory. A record that is
+//! Appends the head of the answer to a read: the end of the stream and the first offset that is
+//! kept, 8 bytes each, big-endian. Both count from 0.
+void AppendReadHead(std::uint64_t aEnd, std::uint64_t aFirst, std::string& aOut);
+
+//! The content of a record of a keyed stream: 1 byte of length, the key, and the value.
+std::string JoinKey(std::string_view aKey, std::string_view aValue);
+//! The reverse of JoinKey; false if the record is too short for its key.
+bool SplitKey(std::string_view aRecord, std::string& aKey, std::string& aValue);
+
+//! Takes the answer to a read apart as its bytes arrive, with bounded memory. A record that is
 //! too long is delivered without its data as soon as its length is known, and ends the answer, so
 //! that no record can hold up those behind it.
 class FrameReader
@@ -24,34 +33,41 @@
   //! aFrom is the offset that was asked for; aMaxTotalBytes bounds the records kept.
   FrameReader(common::Offset aFrom, std::size_t aMaxRecordBytes, std::size_t aMaxTotalBytes);
 
-  //! False if no more bytes are wanted: enough is kept, a record is too long, or a frame is
+  //! False if no more bytes are wanted: enough is kept, a record is too long, or the answer is
   //! malformed.
   bool Feed(std::string_view aBytes);
 
   //! True if the bytes so far end with a whole frame.
-  bool IsAtFrameEnd() const { return head_.empty() && bytesLeft_ == 0; }
-  //! True if an offset is not greater than the one before it, or less than asked for.
+  bool IsAtFrameEnd() const { return hasHead_ && head_.empty() && bytesLeft_ == 0; }
+  //! True if the head cannot be true, or a record lies beyond the end that it names.
   bool IsMalformed() const { return isMalformed_; }
   //! Number of records whose data was dropped because they are too long.
   std::uint64_t OversizedCount() const { return oversizedCount_; }
+  //! Oldest offset that is kept, and the one that the next append will get.
+  common::Offset First() const { return first_; }
+  common::Offset Next() const { return next_; }
 
   //! The whole records so far.
   std::vector<Record> TakeRecords();
 
 private:
   void ReadHead();
+  void ReadLength();
   void EndRecord();
 
-  std::uint64_t leastOffset_;
+  std::uint64_t nextOffset_;
   std::size_t maxRecordBytes_;
   std::size_t maxTotalBytes_;
-  std::string head_;
+  std::string head_; //!< Bytes of the answer's head or of a length that is not yet whole.
   Record record_;
   std::size_t bytesLeft_ = 0;
+  bool hasHead_ = false;
   bool isMalformed_ = false;
   bool isFull_ = false;
   std::size_t totalBytes_ = 0;
   std::uint64_t oversizedCount_ = 0;
+  common::Offset first_;
+  common::Offset next_;
   std::vector<Record> records_;
 };
 
--- a/src/dandelionstand/target/ForwardedCall.cpp
+++ b/src/dandelionstand/target/ForwardedCall.cpp
@@ -2,72 +2,52 @@
 
 #include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/common/HttpHeaders.h"
-#include "dandelionstand/common/HttpServer.h"
 #include "dandelionstand/target/AnswerSender.h"
-#include "dandelionstand/target/TargetConnections.h"
-
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 
 #include <algorithm>
-#include <string_view>
+#include <charconv>
 #include <utility>
 
 namespace dandelionstand::target {
 
 namespace {
 
-constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kFrameBytes = 64UL * 1024;
 
-//! Longest silence of a target in the middle of an answer.
-constexpr timeval kIdleLimit{ 30, 0 };
-//! Longest time without credit before the caller's side is taken for gone.
+//! Longest silence of a target in the middle of an answer, or without credit, before the caller's
+//! side or the target is taken for gone.
+constexpr common::Duration kIdleLimit = std::chrono::seconds(30);
 constexpr common::Duration kPausedLimit = std::chrono::seconds(90);
 
-//! Set by a target that shed the request before it did any work on it.
-constexpr const char* kShedHeader = "Dandelion-Shed";
-
-evhttp_cmd_type MethodOf(const std::string& aName)
+bool IsDownload(const peer::wire::CallStart& aStart)
 {
-  if (aName == "POST") {
-    return EVHTTP_REQ_POST;
-  }
-  if (aName == "PUT") {
-    return EVHTTP_REQ_PUT;
-  }
-  if (aName == "DELETE") {
-    return EVHTTP_REQ_DELETE;
-  }
-  if (aName == "HEAD") {
-    return EVHTTP_REQ_HEAD;
-  }
-  if (aName == "PATCH") {
-    return EVHTTP_REQ_PATCH;
-  }
-  return EVHTTP_REQ_GET;
+  return aStart.traffic_class() == peer::wire::DOWNLOAD;
 }
 
-bool IsDownload(const peer::wire::CallStart& aStart)
+//! The time after which the target closes an idle connection, from its Keep-Alive header; 0 if it
+//! does not say.
+common::Duration KeepAliveTime(const http::Headers& aHeaders)
 {
-  return aStart.traffic_class() == peer::wire::DOWNLOAD;
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view value = http::FindHeader(aHeaders, "Keep-Alive");
+  const auto start = value.find(kTimeout);
+  if (start == std::string_view::npos) {
+    return {};
+  }
+  const std::string_view number = value.substr(start + kTimeout.size());
+  std::uint32_t seconds = 0;
+  std::from_chars(number.data(), number.data() + number.size(), seconds);
+  return std::chrono::seconds(seconds);
 }
 
 } // namespace
 
-ForwardedCall::ForwardedCall(common::EventLoop& aLoop,
-                             AnswerSender& aSender,
-                             TargetConnections& aConnections,
+ForwardedCall::ForwardedCall(const Context& aContext,
                              peer::PeerRef aFrom,
                              AttemptKey aKey,
                              peer::wire::CallStart aStart,
                              Finished aFinished)
-  : loop_(aLoop)
-  , sender_(aSender)
-  , connections_(aConnections)
+  : context_(aContext)
   , from_(std::move(aFrom))
   , key_(std::move(aKey))
   , start_(std::move(aStart))
@@ -84,187 +64,171 @@
   XXH3_freeState(hash_);
 }
 
-void ForwardedCall::Start(common::TimePoint aDeadline)
+void ForwardedCall::Start(common::TimePoint aDeadline, const std::string& aExpectedInstance)
 {
   const common::TimePoint now = common::Now();
   const bool isIdempotent = start_.idempotency() == peer::wire::IDEMPOTENT;
-  connection_ = connections_.Take(!isIdempotent, now);
-  evhttp_connection_set_timeout_tv(connection_, &kIdleLimit);
-  bufferevent* stream = evhttp_connection_get_bufferevent(connection_);
-  output_ = bufferevent_get_output(stream);
-  outputWatch_ = evbuffer_add_cb(output_, &OnOutput, this);
-  deadline_ = loop_.After(aDeadline - now, [this] { OnTimeout(); });
-
-  evhttp_request* request = evhttp_request_new(&OnDone, this);
-  evhttp_request_set_header_cb(request, &OnHead);
-  evhttp_request_set_chunked_cb(request, &OnData);
-  AddHeaders(request, aDeadline - now);
-  evbuffer_add(
-    evhttp_request_get_output_buffer(request), start_.body().data(), start_.body().size());
-  evhttp_make_request(connection_, request, MethodOf(start_.method()), start_.path().c_str());
+  connection_ = context_.connections_.Take(!isIdempotent, now);
+  deadline_ = context_.loop_.After(aDeadline - now, [this] { OnTimeout(); });
+  const common::HostAndPort& server = connection_->Server();
+  const dialect::TargetCall call{ server.host_ + ":" + std::to_string(server.port_),
+                                  aExpectedInstance,
+                                  aDeadline - now,
+                                  start_.depth() };
+  sent_ = context_.dialect_.WriteHeaders(CallerHeaders(), call);
+  connection_->Send({ start_.method(), start_.path(), sent_, start_.body() }, MakeHandlers());
   start_.clear_body();
 }
 
-void ForwardedCall::AddHeaders(evhttp_request* aRequest, common::Duration aTimeLeft)
+http::Headers ForwardedCall::CallerHeaders() const
 {
-  evkeyvalq* headers = evhttp_request_get_output_headers(aRequest);
+  http::Headers headers;
   for (const peer::wire::Header& header : start_.headers()) {
-    evhttp_add_header(headers, header.name().c_str(), header.value().c_str());
+    headers.push_back({ header.name(), header.value() });
   }
-  char* host = nullptr;
-  std::uint16_t port = 0;
-  evhttp_connection_get_peer(connection_, &host, &port);
-  const std::string authority = std::string(host) + ":" + std::to_string(port);
-  const auto leftMs = std::chrono::duration_cast<std::chrono::milliseconds>(aTimeLeft).count();
-  evhttp_add_header(headers, "Host", authority.c_str());
-  evhttp_add_header(headers, "Deadline-Ms", std::to_string(leftMs).c_str());
-  evhttp_add_header(headers, "Dandelion-Depth", std::to_string(start_.depth()).c_str());
+  return headers;
 }
 
-void ForwardedCall::AddCredit(std::uint32_t aBytes)
+http::ClientConnection::Handlers ForwardedCall::MakeHandlers()
 {
-  credit_ += aBytes;
-  ScheduleRead();
+  return { [this](const http::ResponseHead& aHead) { return IsOwn(aHead); },
+           [this](http::ResponseHead aHead) { OnHead(std::move(aHead)); },
+           [this](std::string_view aData) { OnData(aData); },
+           [this](bool aIsReusable) { OnEnd(aIsReusable); },
+           [this](http::ClientFailure aFailure) { OnBroken(aFailure); } };
 }
 
-int ForwardedCall::OnHead(evhttp_request* aRequest, void* aSelf)
+void ForwardedCall::AddCredit(std::uint32_t aBytes)
 {
-  static_cast<ForwardedCall*>(aSelf)->SendHead(aRequest);
-  return 0;
+  credit_ += aBytes;
+  ApplyCredit();
 }
 
-void ForwardedCall::OnData(evhttp_request* aRequest, void* aSelf)
+bool ForwardedCall::IsOwn(const http::ResponseHead& aHead)
 {
-  static_cast<ForwardedCall*>(aSelf)->SendData(aRequest);
+  verdict_ = context_.dialect_.Judge(sent_, aHead);
+  return verdict_ != dialect::AnswerVerdict::kForeign;
 }
 
-void ForwardedCall::OnDone(evhttp_request* aRequest, void* aSelf)
+void ForwardedCall::OnHead(http::ResponseHead aHead)
 {
-  auto* self = static_cast<ForwardedCall*>(aSelf);
-  if (self->isOver_) {
+  head_ = std::move(aHead);
+  if (verdict_ != dialect::AnswerVerdict::kOwn) {
     return;
   }
-  const bool isWhole = aRequest != nullptr && evhttp_request_get_response_code(aRequest) != 0;
-  if (isWhole) {
-    self->EndWhole(aRequest);
-  } else if (!self->wasSent_) {
-    self->Fail("target-unreachable", peer::wire::NOT_RUN);
-  } else if (self->hasHead_) {
-    self->Fail("answer-broke-off", peer::wire::RUN);
-  } else {
-    self->Fail("no-answer-from-target", peer::wire::UNKNOWN);
-  }
-}
-
-void ForwardedCall::OnOutput(evbuffer*, const evbuffer_cb_info* aInfo, void* aSelf)
-{
-  // evhttp writes a request only once the connection stands.
-  if (aInfo->n_added > 0) {
-    static_cast<ForwardedCall*>(aSelf)->wasSent_ = true;
-  }
-}
-
-bool ForwardedCall::SendHead(evhttp_request* aRequest)
-{
   hasHead_ = true;
   if (IsDownload(start_)) {
     deadline_.reset();
+    idleLimit_ = context_.loop_.After(kIdleLimit, [this] { OnTimeout(); });
   }
-  const evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  const char* connection = evhttp_find_header(headers, "Connection");
+  const std::string_view connection = http::FindHeader(head_.headers_, "Connection");
   peer::wire::AnswerHead head;
-  head.set_status(static_cast<std::uint32_t>(evhttp_request_get_response_code(aRequest)));
-  for (const evkeyval* header = headers->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    if (common::IsEndToEndAnswerHeader(header->key, connection == nullptr ? "" : connection)) {
+  head.set_status(head_.status_);
+  for (const http::Header& header : head_.headers_) {
+    if (common::IsEndToEndAnswerHeader(header.name_, connection)) {
       peer::wire::Header& added = *head.add_headers();
-      added.set_name(header->key);
-      added.set_value(header->value);
+      added.set_name(header.name_);
+      added.set_value(header.value_);
     }
   }
-  return sender_.SendHead(from_, key_, std::move(head));
+  context_.sender_.SendHead(from_, key_, std::move(head));
 }
 
-void ForwardedCall::SendData(evhttp_request* aRequest)
+void ForwardedCall::OnData(std::string_view aData)
 {
-  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
-  while (evbuffer_get_length(input) > 0) {
-    std::string data(std::min(kFrameBytes, evbuffer_get_length(input)), '\0');
-    evbuffer_remove(input, data.data(), data.size());
-    XXH3_64bits_update(hash_, data.data(), data.size());
-    length_ += data.size();
-    credit_ -= static_cast<std::int64_t>(data.size());
-    peer::wire::AnswerBody body;
-    body.set_sequence(sequence_++);
-    body.set_checksum(XXH3_64bits(data.data(), data.size()));
-    body.set_data(std::move(data));
-    if (!sender_.SendBody(from_, key_, std::move(body))) {
-      // The frame that is missing shows the caller's side that the answer broke.
-      isOver_ = true;
-      FinishLater();
-      return;
-    }
+  if (isOver_ || verdict_ != dialect::AnswerVerdict::kOwn) {
+    return;
+  }
+  while (!aData.empty() && !isOver_) {
+    SendFrame(std::string(aData.substr(0, kFrameBytes)));
+    aData.remove_prefix(std::min(kFrameBytes, aData.size()));
   }
-  if (credit_ <= 0) {
-    ScheduleRead();
+  if (!isOver_) {
+    ApplyCredit();
   }
 }
 
-void ForwardedCall::EndWhole(evhttp_request* aRequest)
+void ForwardedCall::SendFrame(std::string aData)
 {
-  const char* shed = evhttp_find_header(evhttp_request_get_input_headers(aRequest), kShedHeader);
-  const bool isShed =
-    evhttp_request_get_response_code(aRequest) == kServiceUnavailable && shed != nullptr;
-  if (isShed) {
-    Fail("target-shed", peer::wire::NOT_RUN);
+  XXH3_64bits_update(hash_, aData.data(), aData.size());
+  length_ += aData.size();
+  credit_ -= static_cast<std::int64_t>(aData.size());
+  peer::wire::AnswerBody body;
+  body.set_sequence(sequence_++);
+  body.set_checksum(XXH3_64bits(aData.data(), aData.size()));
+  body.set_data(std::move(aData));
+  if (!context_.sender_.SendBody(from_, key_, std::move(body))) {
+    // The frame that is missing shows the caller's side that the answer broke.
+    isOver_ = true;
+    FinishLater();
+  }
+}
+
+void ForwardedCall::OnEnd(bool aIsReusable)
+{
+  if (isOver_) {
     return;
   }
-  peer::wire::AnswerEnd end;
-  end.set_length(length_);
-  end.set_checksum(XXH3_64bits_digest(hash_));
-  const bool reuse = IsKeptAlive(aRequest);
+  switch (verdict_) {
+    case dialect::AnswerVerdict::kMisplaced:
+      context_.lost_("another-target");
+      Fail("target-misplaced", peer::wire::NOT_RUN);
+      return;
+    case dialect::AnswerVerdict::kInvalid:
+    case dialect::AnswerVerdict::kForeign:
+      Fail("invalid-answer", peer::wire::UNKNOWN);
+      return;
+    case dialect::AnswerVerdict::kNotRun:
+      context_.sender_.SendFailed(from_, key_, "target-shed", peer::wire::NOT_RUN);
+      break;
+    case dialect::AnswerVerdict::kOwn: {
+      peer::wire::AnswerEnd end;
+      end.set_length(length_);
+      end.set_checksum(XXH3_64bits_digest(hash_));
+      context_.sender_.SendEnd(from_, key_, std::move(end));
+      break;
+    }
+  }
   isOver_ = true;
-  sender_.SendEnd(from_, key_, std::move(end));
-  // evhttp still uses the connection when it reports the end of a request.
-  finishLater_ = loop_.After(common::Duration(0), [this, reuse] {
-    Release(reuse);
+  // The connection still runs its own code when it reports the end of a response.
+  finishLater_ = context_.loop_.After(common::Duration(0), [this, aIsReusable] {
+    Release(aIsReusable);
     finished_(key_);
   });
 }
 
-void ForwardedCall::Fail(const std::string& aReason, peer::wire::RunState aRunState)
+void ForwardedCall::OnBroken(http::ClientFailure aFailure)
 {
-  isOver_ = true;
-  sender_.SendFailed(from_, key_, aReason, aRunState);
-  FinishLater();
+  if (isOver_) {
+    return;
+  }
+  if (aFailure == http::ClientFailure::kNotConnected) {
+    context_.lost_("unreachable");
+    Fail("target-unreachable", peer::wire::NOT_RUN);
+  } else if (hasHead_) {
+    Fail("answer-broke-off", peer::wire::RUN);
+  } else {
+    Fail("no-answer-from-target", peer::wire::UNKNOWN);
+  }
 }
 
-void ForwardedCall::ScheduleRead()
+void ForwardedCall::Fail(const std::string& aReason, peer::wire::RunState aRunState)
 {
-  if (connection_ == nullptr || isOver_ || readLater_) {
-    return;
-  }
-  // evhttp switches reading on again after each piece of a body, so this waits for its return.
-  // One that is pending stays: a body that arrives in each turn of the loop would put it off
-  // forever.
-  readLater_ = loop_.After(common::Duration(0), [this] { ApplyCredit(); });
+  isOver_ = true;
+  context_.sender_.SendFailed(from_, key_, aReason, aRunState);
+  FinishLater();
 }
 
 void ForwardedCall::ApplyCredit()
 {
-  readLater_.reset();
-  if (connection_ == nullptr || isOver_) {
-    return;
-  }
-  bufferevent* stream = evhttp_connection_get_bufferevent(connection_);
-  if (credit_ > 0) {
-    pausedLimit_.reset();
-    bufferevent_enable(stream, EV_READ);
+  if (!connection_ || isOver_ || !hasHead_) {
     return;
   }
-  bufferevent_disable(stream, EV_READ);
-  if (!pausedLimit_) {
-    pausedLimit_ = loop_.After(kPausedLimit, [this] { OnTimeout(); });
+  const bool isPaused = credit_ <= 0;
+  connection_->SetReading(!isPaused);
+  if (IsDownload(start_)) {
+    idleLimit_ =
+      context_.loop_.After(isPaused ? kPausedLimit : kIdleLimit, [this] { OnTimeout(); });
   }
 }
 
@@ -273,40 +237,34 @@
   if (isOver_) {
     return;
   }
-  if (!wasSent_) {
+  if (!connection_->WasSent()) {
+    context_.lost_("connect-timeout");
     Fail("target-unreachable", peer::wire::NOT_RUN);
     return;
   }
   Fail("target-timeout", hasHead_ ? peer::wire::RUN : peer::wire::UNKNOWN);
 }
 
-bool ForwardedCall::IsKeptAlive(evhttp_request* aRequest) const
-{
-  const char* value = evhttp_find_header(evhttp_request_get_input_headers(aRequest), "Connection");
-  return value == nullptr || !common::EqualsIgnoringCase(value, "close");
-}
-
 void ForwardedCall::Release(bool aReuse)
 {
   deadline_.reset();
-  pausedLimit_.reset();
-  readLater_.reset();
-  if (connection_ == nullptr) {
+  idleLimit_.reset();
+  if (!connection_) {
     return;
   }
   isOver_ = true;
-  evbuffer_remove_cb_entry(output_, outputWatch_);
-  evhttp_connection* connection = std::exchange(connection_, nullptr);
   if (aReuse) {
-    connections_.Return(connection, common::Now());
+    context_.connections_.Return(
+      std::move(connection_), KeepAliveTime(head_.headers_), common::Now());
   } else {
-    connections_.Discard(connection);
+    connection_->Cancel();
+    context_.connections_.Discard(std::move(connection_));
   }
 }
 
 void ForwardedCall::FinishLater()
 {
-  finishLater_ = loop_.After(common::Duration(0), [this] { finished_(key_); });
+  finishLater_ = context_.loop_.After(common::Duration(0), [this] { finished_(key_); });
 }
 
 } // namespace dandelionstand::target
--- a/src/dandelionstand/target/ForwardedCall.h
+++ b/src/dandelionstand/target/ForwardedCall.h
@@ -2,9 +2,11 @@
 #define dandelionstand_target_ForwardedCall_h
 
 #include "dandelionstand/common/Time.h"
+#include "dandelionstand/dialect/TargetDialect.h"
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/peer/generated/call.pb.h"
 #include "dandelionstand/target/AttemptKey.h"
+#include "dandelionstand/target/TargetConnections.h"
 
 #include <xxhash.h>
 
@@ -12,22 +14,11 @@
 #include <functional>
 #include <memory>
 #include <string>
-
-struct evbuffer;
-struct evbuffer_cb_entry;
-struct evbuffer_cb_info;
-struct evhttp_connection;
-struct evhttp_request;
-
-namespace dandelionstand::common {
-class EventLoop;
-class Watch;
-} // namespace dandelionstand::common
+#include <string_view>
 
 namespace dandelionstand::target {
 
 class AnswerSender;
-class TargetConnections;
 
 //! One attempt that runs on the target: forwards the request over HTTP and streams the answer back
 //! as far as the caller's side gives credit.
@@ -36,10 +27,20 @@
 public:
   //! Called once from the event loop when nothing of the call is left to do.
   using Finished = std::function<void(const AttemptKey&)>;
-
-  ForwardedCall(common::EventLoop& aLoop,
-                AnswerSender& aSender,
-                TargetConnections& aConnections,
+  //! Called if the target cannot be reached, or another one has its address.
+  using Lost = std::function<void(const std::string& aReason)>;
+
+  //! What the calls to one target share.
+  struct Context
+  {
+    common::EventLoop& loop_;
+    AnswerSender& sender_;
+    TargetConnections& connections_;
+    const dialect::TargetDialect& dialect_;
+    Lost lost_;
+  };
+
+  ForwardedCall(const Context& aContext,
                 peer::PeerRef aFrom,
                 AttemptKey aKey,
                 peer::wire::CallStart aStart,
@@ -50,46 +51,40 @@
   ForwardedCall& operator=(const ForwardedCall&) = delete;
 
   //! Hands the request to the target. aDeadline is for the head, and for the whole answer unless
-  //! it is a download.
-  void Start(common::TimePoint aDeadline);
+  //! it is a download. aExpectedInstance names the start of the target that it is for.
+  void Start(common::TimePoint aDeadline, const std::string& aExpectedInstance);
   void AddCredit(std::uint32_t aBytes);
   const peer::PeerRef& From() const { return from_; }
 
 private:
-  static int OnHead(evhttp_request* aRequest, void* aSelf);
-  static void OnData(evhttp_request* aRequest, void* aSelf);
-  static void OnDone(evhttp_request* aRequest, void* aSelf);
-  static void OnOutput(evbuffer* aBuffer, const evbuffer_cb_info* aInfo, void* aSelf);
-
-  void AddHeaders(evhttp_request* aRequest, common::Duration aTimeLeft);
-  bool SendHead(evhttp_request* aRequest);
-  void SendData(evhttp_request* aRequest);
-  void EndWhole(evhttp_request* aRequest);
+  http::Headers CallerHeaders() const;
+  http::ClientConnection::Handlers MakeHandlers();
+  bool IsOwn(const http::ResponseHead& aHead);
+  void OnHead(http::ResponseHead aHead);
+  void OnData(std::string_view aData);
+  void OnEnd(bool aIsReusable);
+  void OnBroken(http::ClientFailure aFailure);
+  void SendFrame(std::string aData);
   void Fail(const std::string& aReason, peer::wire::RunState aRunState);
-  void ScheduleRead();
   void ApplyCredit();
   void OnTimeout();
-  bool IsKeptAlive(evhttp_request* aRequest) const;
   void Release(bool aReuse);
   void FinishLater();
 
-  common::EventLoop& loop_;
-  AnswerSender& sender_;
-  TargetConnections& connections_;
+  const Context& context_;
   peer::PeerRef from_;
   AttemptKey key_;
   peer::wire::CallStart start_;
   Finished finished_;
 
-  evhttp_connection* connection_ = nullptr;
-  evbuffer* output_ = nullptr;
-  evbuffer_cb_entry* outputWatch_ = nullptr;
+  TargetConnections::Connection connection_;
+  http::Headers sent_;
+  http::ResponseHead head_;
+  dialect::AnswerVerdict verdict_ = dialect::AnswerVerdict::kOwn;
   std::unique_ptr<common::Watch> deadline_;
-  std::unique_ptr<common::Watch> pausedLimit_;
-  std::unique_ptr<common::Watch> readLater_;
+  std::unique_ptr<common::Watch> idleLimit_;
   std::unique_ptr<common::Watch> finishLater_;
   XXH3_state_t* hash_;
-  bool wasSent_ = false; //!< Whether a byte of the request may have reached the target.
   bool hasHead_ = false;
   bool isOver_ = false;
   std::uint64_t sequence_ = 0;
--- a/src/dandelionstand/target/SlotQueue.cpp
+++ b/src/dandelionstand/target/SlotQueue.cpp
@@ -59,6 +59,12 @@
   return actions;
 }
 
+SlotActions SlotQueue::Ready(common::TimePoint aNow, common::Duration aRampUp)
+{
+  settings_.coldStart_ = aRampUp;
+  return Ready(aNow);
+}
+
 SlotActions SlotQueue::Ready(common::TimePoint aNow)
 {
   SlotActions actions;
--- a/src/dandelionstand/target/SlotQueue.h
+++ b/src/dandelionstand/target/SlotQueue.h
@@ -77,6 +77,7 @@
 
   //! The target can take work; a first announcement starts the cold-start ramp.
   SlotActions Ready(common::TimePoint aNow);
+  SlotActions Ready(common::TimePoint aNow, common::Duration aRampUp);
   //! The target is gone: waiting work is refused; running work is ended by its own result.
   SlotActions NotReady(common::TimePoint aNow);
   //! No new work is accepted. Waiting work may start until the drain's queue time is over.
--- a/src/dandelionstand/target/TargetConnections.cpp
+++ b/src/dandelionstand/target/TargetConnections.cpp
@@ -1,16 +1,20 @@
 #include "dandelionstand/target/TargetConnections.h"
 
-#include "dandelionstand/common/EventLoop.h"
-
-#include <event2/http.h>
+#include <algorithm>
+#include <utility>
 
 namespace dandelionstand::target {
 
 namespace {
 
-//! A target that closes idle connections gives them longer than this.
-constexpr common::Duration kFresh = std::chrono::milliseconds(500);
-constexpr common::Duration kIdleLimit = std::chrono::seconds(10);
+//! The target is beside the daemon; a connection that takes longer is not accepted.
+constexpr common::Duration kConnectTime = std::chrono::milliseconds(700);
+//! A request and the target's own closing of an idle connection may cross.
+constexpr common::Duration kCloseMargin = std::chrono::milliseconds(700);
+//! For a request that must not run twice, which could not be sent again after such a crossing.
+constexpr common::Duration kFreshMargin = std::chrono::milliseconds(1500);
+//! Without a word of the target's own.
+constexpr common::Duration kIdleLimit = std::chrono::seconds(8);
 
 } // namespace
 
@@ -19,11 +23,6 @@
 {
 }
 
-TargetConnections::~TargetConnections()
-{
-  CloseIdle();
-}
-
 void TargetConnections::SetTarget(const common::HostAndPort& aTarget)
 {
   const bool isSame = aTarget.host_ == target_.host_ && aTarget.port_ == target_.port_;
@@ -33,48 +32,49 @@
   }
 }
 
-evhttp_connection* TargetConnections::Take(bool aOnlyFresh, common::TimePoint aNow)
+TargetConnections::Connection TargetConnections::Take(bool aOnlyFresh, common::TimePoint aNow)
 {
   ++running_;
-  const common::Duration limit = aOnlyFresh ? kFresh : kIdleLimit;
-  if (!idle_.empty() && aNow - idle_.back().since_ < limit) {
-    evhttp_connection* connection = idle_.back().connection_;
+  DropUnusable(aNow);
+  const common::Duration margin = aOnlyFresh ? kFreshMargin : kCloseMargin;
+  if (!idle_.empty() && aNow + margin < idle_.back().until_) {
+    Connection connection = std::move(idle_.back().connection_);
     idle_.pop_back();
     return connection;
   }
   if (!idle_.empty() && running_ + idle_.size() > limit_) {
-    evhttp_connection_free(idle_.front().connection_);
     idle_.erase(idle_.begin());
   }
-  return evhttp_connection_base_new(loop_.Base(), nullptr, target_.host_.c_str(), target_.port_);
+  ++opened_;
+  return std::make_unique<http::ClientConnection>(loop_, target_, kConnectTime);
 }
 
-void TargetConnections::Return(evhttp_connection* aConnection, common::TimePoint aNow)
+void TargetConnections::DropUnusable(common::TimePoint aNow)
 {
-  char* host = nullptr;
-  std::uint16_t port = 0;
-  evhttp_connection_get_peer(aConnection, &host, &port);
-  const bool isCurrent = host != nullptr && target_.host_ == host && target_.port_ == port;
-  if (!isCurrent || running_ + idle_.size() > limit_) {
-    Discard(aConnection);
-    return;
-  }
-  --running_;
-  idle_.push_back({ aConnection, aNow });
+  std::erase_if(idle_, [aNow](const Idle& aIdle) {
+    return !aIdle.connection_->IsUsable() || aNow + kCloseMargin >= aIdle.until_;
+  });
 }
 
-void TargetConnections::Discard(evhttp_connection* aConnection)
+void TargetConnections::Return(Connection aConnection,
+                               common::Duration aIdleLimit,
+                               common::TimePoint aNow)
 {
+  const common::HostAndPort& server = aConnection->Server();
+  const bool isCurrent = server.host_ == target_.host_ && server.port_ == target_.port_;
+  if (!isCurrent || !aConnection->IsUsable() || running_ + idle_.size() > limit_) {
+    Discard(std::move(aConnection));
+    return;
+  }
   --running_;
-  evhttp_connection_free(aConnection);
+  const common::Duration limit = aIdleLimit.count() > 0 ? aIdleLimit : kIdleLimit;
+  idle_.push_back({ std::move(aConnection), aNow, aNow + limit });
 }
 
-void TargetConnections::CloseIdle()
+void TargetConnections::Discard(Connection aConnection)
 {
-  for (const Idle& idle : idle_) {
-    evhttp_connection_free(idle.connection_);
-  }
-  idle_.clear();
+  --running_;
+  aConnection.reset();
 }
 
 } // namespace dandelionstand::target
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -31,6 +31,7 @@
 TargetForwarder::TargetForwarder(common::EventLoop& aLoop,
                                  common::Counters& aCounters,
                                  peer::Transport& aTransport,
+                                 const dialect::TargetDialect& aDialect,
                                  common::Incarnation aIncarnation,
                                  ConfigSource aConfig)
   : loop_(aLoop)
@@ -41,6 +42,9 @@
   , sender_(aTransport, [this] { return LoadNow(); })
   , connections_(aLoop)
   , queue_(SlotSettings{})
+  , callContext_{ aLoop, sender_, connections_, aDialect, [this](const std::string& aReason) {
+                   targetLost_.emit(aReason);
+                 } }
 {
   transport_.Received().connect(sigc::mem_fun(*this, &TargetForwarder::OnEnvelope));
   tick_ = loop_.Every(kTickInterval, [this] { Tick(); });
@@ -48,19 +52,20 @@
 
 TargetForwarder::~TargetForwarder() = default;
 
-void TargetForwarder::SetTarget(const common::ServiceName& aService,
-                                const common::Address& aAddress)
+void TargetForwarder::SetTarget(const Target& aTarget)
 {
-  service_ = aService;
-  address_ = aAddress;
-  common::HostAndPort target;
+  if (aTarget.startId_ != target_.startId_) {
+    connections_.CloseIdle();
+  }
+  target_ = aTarget;
+  common::HostAndPort address;
   RefreshLimits();
-  if (!common::ParseAddress(aAddress.Get(), target)) {
+  if (!common::ParseAddress(aTarget.address_.Get(), address)) {
     Apply(queue_.NotReady(common::Now()));
     return;
   }
-  connections_.SetTarget(target);
-  Apply(queue_.Ready(common::Now()));
+  connections_.SetTarget(address);
+  Apply(queue_.Ready(common::Now(), aTarget.rampUp_));
 }
 
 void TargetForwarder::StartDrain()
@@ -91,7 +96,7 @@
     Refuse(aFrom, aKey, "wrong-incarnation");
     return;
   }
-  if (aStart.service() != service_.Get()) {
+  if (aStart.service() != target_.service_.Get()) {
     Refuse(aFrom, aKey, ToText(RefuseReason::kNotReady));
     return;
   }
@@ -104,13 +109,9 @@
   const auto trafficClass = static_cast<config::TrafficClass>(aStart.traffic_class());
   calls_[aKey] = { deadline,
                    std::make_unique<ForwardedCall>(
-                     loop_,
-                     sender_,
-                     connections_,
-                     aFrom,
-                     aKey,
-                     aStart,
-                     [this](const AttemptKey& aEnded) { OnFinished(AttemptKey(aEnded)); }) };
+                     callContext_, aFrom, aKey, aStart, [this](const AttemptKey& aEnded) {
+                       OnFinished(AttemptKey(aEnded));
+                     }) };
   Apply(queue_.Offer({ aKey, trafficClass, deadline }, now));
 }
 
@@ -136,7 +137,7 @@
     if (const auto* start = std::get_if<StartWork>(&action)) {
       counters_.Add("target_calls_forwarded_total");
       Entry& entry = calls_.at(start->key_);
-      entry.call_->Start(entry.deadline_);
+      entry.call_->Start(entry.deadline_, target_.startId_);
     } else if (const auto* refusal = std::get_if<RefuseWork>(&action)) {
       const auto found = calls_.find(refusal->key_);
       Refuse(found->second.call_->From(), refusal->key_, ToText(refusal->reason_));
@@ -159,7 +160,7 @@
   if (!config) {
     return;
   }
-  const auto endpoints = config->endpoints_.find(service_);
+  const auto endpoints = config->endpoints_.find(target_.service_);
   if (endpoints == config->endpoints_.end()) {
     return;
   }
@@ -168,8 +169,8 @@
     return;
   }
   connections_.SetLimit(limits->second.value_.connections_);
-  Apply(queue_.SetLimits(
-    limits->second.value_.slots_, limits->second.value_.queueLength_, common::Now()));
+  const std::uint32_t slots = target_.slots_ > 0 ? target_.slots_ : limits->second.value_.slots_;
+  Apply(queue_.SetLimits(slots, limits->second.value_.queueLength_, common::Now()));
 }
 
 void TargetForwarder::Tick()
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -5,9 +5,11 @@
 #include "dandelionstand/config/ConfigState.h"
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/target/AnswerSender.h"
+#include "dandelionstand/target/ForwardedCall.h"
 #include "dandelionstand/target/SlotQueue.h"
 #include "dandelionstand/target/TargetConnections.h"
 
+#include <sigc++/signal.h>
 #include <sigc++/trackable.h>
 
 #include <cstddef>
@@ -28,8 +30,6 @@
 
 namespace dandelionstand::target {
 
-class ForwardedCall;
-
 //! The only way into the target beside this daemon: takes calls from links, gives them slots and
 //! forwards them. Says "not run" only for calls of which the target has not got a byte.
 class TargetForwarder : public sigc::trackable
@@ -41,12 +41,25 @@
   TargetForwarder(common::EventLoop& aLoop,
                   common::Counters& aCounters,
                   peer::Transport& aTransport,
+                  const dialect::TargetDialect& aDialect,
                   common::Incarnation aIncarnation,
                   ConfigSource aConfig);
   ~TargetForwarder();
 
-  //! Sets or withdraws (empty address) the target.
-  void SetTarget(const common::ServiceName& aService, const common::Address& aAddress);
+  //! What is known of the target that work may go to.
+  struct Target
+  {
+    common::ServiceName service_;
+    common::Address address_; //!< Empty: there is none that takes work.
+    std::string startId_;     //!< Sent with each request, so that no later start runs it.
+    std::uint32_t slots_ = 0; //!< 0: as the limits of its service say.
+    common::Duration rampUp_ = std::chrono::seconds(5); //!< Time to take work up after a start.
+  };
+
+  //! Sets or withdraws the target. Withdrawing refuses the work that waits.
+  void SetTarget(const Target& aTarget);
+  //! Emitted if the target cannot be reached, or another one has its address.
+  sigc::signal<void, const std::string&>& TargetLost() { return targetLost_; }
   //! Refuses new calls as not run; those in flight go on.
   void StartDrain();
   std::size_t InFlight() const { return calls_.size(); }
@@ -79,8 +92,9 @@
   AnswerSender sender_;
   TargetConnections connections_;
   SlotQueue queue_;
-  common::ServiceName service_;
-  common::Address address_;
+  Target target_;
+  ForwardedCall::Context callContext_;
+  sigc::signal<void, const std::string&> targetLost_;
   std::map<AttemptKey, Entry> calls_;
   std::unique_ptr<common::Watch> tick_;
 };
--- /dev/null
+++ b/src/dandelionstand/target/TargetWatch.h
@@ -0,0 +1,45 @@
+#ifndef dandelionstand_target_TargetWatch_h
+#define dandelionstand_target_TargetWatch_h
+
+#include "dandelionstand/target/TargetForwarder.h"
+#include "dandelionstand/target/TargetRecord.h"
+
+#include <sigc++/signal.h>
+#include <sigc++/trackable.h>
+
+#include <memory>
+
+namespace dandelionstand::target {
+
+//! Keeps the gate into the target in step with what the target says of itself.
+class TargetWatch : public sigc::trackable
+{
+public:
+  TargetWatch(common::EventLoop& aLoop, common::Counters& aCounters, TargetForwarder& aForwarder);
+  ~TargetWatch();
+
+  //! Returns with the gate closed if the target takes no more work, so that the announcement may
+  //! be acknowledged at once.
+  void Announce(const TargetAnnouncement& aNews);
+  bool IsReady() const { return isReady_; }
+
+  //! Emitted with the service while the target takes work, and with an empty name when it stops.
+  sigc::signal<void, const common::ServiceName&>& Changed() { return changed_; }
+
+private:
+  void OnLost(const std::string& aReason);
+  void Update(const char* aCause);
+
+  common::Counters& counters_;
+  TargetForwarder& forwarder_;
+  TargetRecord record_;
+  bool isReady_ = false;
+  std::string openFor_; //!< The start of the target that the gate is open for.
+  std::uint32_t slots_ = 0;
+  std::unique_ptr<common::Watch> tick_;
+  sigc::signal<void, const common::ServiceName&> changed_;
+};
+
+} // namespace dandelionstand::target
+
+#endif // dandelionstand_target_TargetWatch_h
--- a/standins/log/LogServer.h
+++ b/standins/log/LogServer.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace dandelionstand::standins {
 
@@ -20,6 +21,7 @@
   kNone,
   kRefuse, //!< Every request gets 503.
   kSilent, //!< No request gets an answer.
+  kReset,  //!< Every connection ends without an answer.
 };
 
 //! What a test makes the log service do; set through POST /control.
@@ -29,13 +31,17 @@
   common::Duration delay_{};             //!< Before each answer.
   std::uint64_t loseAnswers_ = 0;        //!< So many more appends take effect without an answer.
   std::string loseAnswersStream_;        //!< Only in this stream; empty stands for any.
+  common::Duration lateBy_{};            //!< Appends whose answer is lost take effect after this.
   std::uint64_t appendsPerSecond_ = 400; //!< 0 stands for no limit.
+  std::uint64_t readsPerSecond_ = 2000;  //!< 0 stands for no limit.
   std::uint64_t maxRecordBytes_ = 16'777'216;
   std::uint64_t maxReadBytes_ = 4'194'304;
   Retention retention_;
 };
 
-//! The log service over HTTP: `/v1/streams/{stream}/records`, `/control` and `/counts`.
+//! The platform's store over HTTP, as far as the product uses it: `/dandelionstand/log-append`,
+//! `log-read`, `log-newest` and `log-trim`, with `/control` and `/counts` for tests. Offsets on the
+//! wire count from 0; a topic has partition 0 only.
 class LogServer
 {
 public:
@@ -45,6 +51,8 @@
   const common::Address& ListeningAddress() const { return server_.ListeningAddress(); }
   void SetBehaviour(const LogBehaviour& aBehaviour);
   const LogBehaviour& GetBehaviour() const { return behaviour_; }
+  //! Drops the history; the newest records of keyed streams stay.
+  void Forget() { store_.Forget(); }
 
 private:
   struct Usage
@@ -66,18 +74,35 @@
   void OnRequest(const ServerRequest& aRequest);
   void OnControl(const ServerRequest& aRequest);
   void OnCounts(const ServerRequest& aRequest);
-  void OnRecords(const ServerRequest& aRequest, const std::string& aStream);
+  //! Tokens of one rate limit.
+  struct Bucket
+  {
+    double tokens_ = 0;
+    common::TimePoint filledAt_;
+  };
+  //! The appends of one producer that are remembered, so that a repeat gets its first answer.
+  struct Producer
+  {
+    std::uint64_t epoch_ = 0;
+    std::uint64_t nextSequence_ = 0;
+    bool isNumbered_ = false; //!< Whether an append of this epoch set nextSequence_.
+    std::map<std::uint64_t, std::string> answers_; //!< By sequence.
+  };
+
+  void OnCall(const ServerRequest& aRequest, const std::string& aCall);
   void Append(const ServerRequest& aRequest, const std::string& aStream);
+  bool IsAdmitted(const ServerRequest& aRequest, const std::string& aStream);
+  void AppendRecords(const ServerRequest& aRequest,
+                     const std::string& aStream,
+                     const std::vector<std::string>& aRecords);
   void Read(const ServerRequest& aRequest, const std::string& aStream);
   void AnswerRead(const ServerRequest& aRequest, const std::string& aStream);
+  void ReadNewest(const ServerRequest& aRequest, const std::string& aStream);
   void StartWaiting(const ServerRequest& aRequest, const std::string& aStream);
   void EndWaiting(Waiters::iterator aWaiter);
   void WakeWaiters(const std::string& aStream);
-  void AnswerLater(std::shared_ptr<Responder> aResponder,
-                   int aStatus,
-                   HeaderMap aHeaders,
-                   std::string aBody);
-  bool TakeAppendToken();
+  void AnswerLater(std::shared_ptr<Responder> aResponder, int aStatus, std::string aBody);
+  static bool TakeToken(Bucket& aBucket, std::uint64_t aRate);
   bool LosesAnswer(const std::string& aStream);
   Usage& UsageOf(const ServerRequest& aRequest, const std::string& aStream);
 
@@ -87,8 +112,10 @@
   std::map<std::pair<std::string, std::string>, Usage> usage_; //!< By client IP and stream.
   Waiters waiters_;
   std::list<std::shared_ptr<Responder>> unanswered_; //!< Held open during a silent outage.
-  double appendTokens_ = 0;
-  common::TimePoint tokensFilled_;
+  std::map<std::pair<std::string, std::string>, Producer> producers_; //!< By stream and name.
+  std::list<std::unique_ptr<common::Watch>> late_; //!< Appends that take effect later.
+  Bucket appends_;
+  Bucket reads_;
   std::unique_ptr<common::Watch> expiry_;
   HttpServer server_;
 };
--- a/standins/log/LogStore.h
+++ b/standins/log/LogStore.h
@@ -28,6 +28,19 @@
   //! The frames of the kept records from aFrom on, ended after the first that passes aMaxBytes.
   std::string ReadFrames(const std::string& aStream, common::Offset aFrom, std::size_t aMaxBytes);
 
+  //! A record that is the newest of its key in a keyed stream.
+  struct Newest
+  {
+    std::string value_;
+    common::Offset offset_;
+  };
+  //! By key; kept whatever the retention drops. Empty for a stream that is not keyed.
+  const std::map<std::string, Newest>& NewestOf(const std::string& aStream);
+
+  //! Drops every record, but not the newest ones of keyed streams.
+  void Forget();
+  void Trim(const std::string& aStream, common::Offset aBefore);
+
   common::Offset First(const std::string& aStream);
   common::Offset Next(const std::string& aStream);
 
@@ -44,6 +57,7 @@
   struct Stream
   {
     std::deque<Entry> entries_;
+    std::map<std::string, Newest> newest_;
     std::uint64_t first_ = 1;
   };
 
