Bound what second runs take from the retry budget; structured logs on stdout that never block

Ruled out: the reserve (1.9 a daemon) and a herd's return (none before it). A second run now costs two of the budget. The daemon now leaves with quick_exit after the flush.

--- a/programs/dandelion-daemon.cpp
+++ b/programs/dandelion-daemon.cpp
@@ -42,8 +42,18 @@
     std::cout << aFile << ": no findings\n";
     return ToInt(daemon::ExitStatus::kOk);
   }
-  common::StartEventLog(settings.instance_.Get(), settings.logLevel_);
-  return ToInt(daemon::Daemon(settings, aFile).Run());
+  common::StartBoundedEventLog(settings.instance_.Get(), settings.logLevel_);
+  daemon::ExitStatus status = daemon::ExitStatus::kFailed;
+  try {
+    status = daemon::Daemon(settings, aFile).Run();
+  } catch (const std::exception& error) {
+    common::LogEvent(common::Severity::kError, "failed", { { "error", error.what() } });
+    std::cerr << error.what() << "\n";
+  }
+  common::FlushEventLog();
+  // The threads of the logging library are waited for by its static objects, which takes longer
+  // than the time that a stop may take. Everything of the daemon itself has ended by here.
+  std::quick_exit(ToInt(status));
 }
 
 } // namespace
--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -323,7 +323,9 @@
     return false;
   }
   const bool isFree = IsFreeToRetry(aFailed.reason_) || (!hasReached && !plan_.paysForRefusals_);
-  return isFree || budget_.Spend(aNow);
+  // A request that ran has made its calls, and makes them again when it runs once more.
+  const std::uint32_t cost = aFailed.runState_ == RunState::kNotRun ? 1 : plan_.rerunCost_;
+  return isFree || budget_.Spend(aNow, cost);
 }
 
 std::uint32_t CallMachine::Tries() const
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -88,18 +88,20 @@
   {
   }
 
-  void SetId(const std::string& aId) { id_ = aId; }
-
   CallerConnection& Connection() { return connection_; }
+  void SetId(const std::string& aId) { id_ = aId; }
+  void SetCall(common::RequestId aCall) { call_ = aCall; }
 
   void SendHead(std::uint32_t aStatus, const Headers& aHeaders) override
   {
+    status_ = aStatus;
     connection_.SendHead(aStatus, aHeaders);
   }
   void SendBody(const std::string& aData) override { connection_.SendBody(aData); }
   void Finish() override
   {
     server_.CountOutcome("answered");
+    Log(common::Severity::kInfo, "request_answered", "", RunState::kRun);
     connection_.Unwatch();
     connection_.Finish();
   }
@@ -112,29 +114,57 @@
     if (refusal.runState_ == RunState::kNotRun && refusal.status_ == kUnavailable) {
       refusal.retryAfter_ = RetryAfter({ refusal.reason_ }, server_.random_);
     }
-    common::LogEvent(common::Severity::kWarn,
-                     "request_refused",
-                     { { "request", id_ },
-                       { "status", refusal.status_ },
-                       { "reason", refusal.reason_ },
-                       { "run", ToText(refusal.runState_) } });
+    status_ = refusal.status_;
+    Log(common::Severity::kWarn, "request_refused", refusal.reason_, refusal.runState_);
     connection_.Refuse(refusal);
   }
   void Abort(const std::string& aReason) override
   {
     server_.CountOutcome("broken-off");
-    common::LogEvent(
-      common::Severity::kWarn, "answer_broken_off", { { "request", id_ }, { "reason", aReason } });
+    Log(common::Severity::kWarn, "request_broken_off", aReason, RunState::kUnknown);
     connection_.Unwatch();
     connection_.Abort();
   }
+  void OnGone() { Log(common::Severity::kInfo, "caller_gone", "", RunState::kUnknown); }
 
 private:
   CallerServer& server_;
+  void Log(common::Severity aSeverity,
+           const char* aEvent,
+           const std::string& aReason,
+           RunState aRunState) const;
+
   CallerConnection connection_;
   std::string id_;
+  common::RequestId call_; //!< 0 for a request that began no call.
+  std::uint32_t status_ = 0;
+  common::TimePoint since_ = common::Now();
 };
 
+void CallerServer::Exchange::Log(common::Severity aSeverity,
+                                 const char* aEvent,
+                                 const std::string& aReason,
+                                 RunState aRunState) const
+{
+  const ActiveCall* call = server_.FindCall(call_);
+  const config::ConfigStatePtr config = server_.config_();
+  const std::uint64_t version = config ? config->version_.Get() : 0;
+  const auto took =
+    std::chrono::duration_cast<std::chrono::milliseconds>(common::Now() - since_).count();
+  common::LogEvent(aSeverity,
+                   aEvent,
+                   { { "request", id_ },
+                     { "status", status_ },
+                     { "reason", aReason },
+                     { "run", ToText(aRunState) },
+                     { "ms", static_cast<std::uint64_t>(took) },
+                     { "version", call == nullptr ? version : call->Route().version_.Get() },
+                     { "route", call == nullptr ? "" : call->Route().name_.Get() },
+                     { "service", call == nullptr ? "" : call->Route().route_.endpoints_.Get() },
+                     { "attempts", call == nullptr ? 0 : call->AttemptsMade() },
+                     { "endpoint", call == nullptr ? "" : call->LastEndpoint().instance_.Get() } });
+}
+
 CallerServer::CallerServer(common::EventLoop& aLoop,
                            common::Counters& aCounters,
                            peer::Transport& aTransport,
@@ -282,9 +312,11 @@
 
 void CallerServer::WatchCall(Exchange& aExchange, common::RequestId aId)
 {
+  aExchange.SetCall(aId);
   aExchange.Connection().Watch(
-    [this, aId] {
+    [this, aId, &aExchange] {
       context_.counters_.Add("caller_disconnects_total");
+      aExchange.OnGone();
       ActiveCall* call = FindCall(aId);
       if (call != nullptr) {
         call->OnCallerGone();
@@ -325,6 +357,7 @@
   const CallPolicy& policy = settings_.policy_;
   plan.tries_ = plan.attempts_ + policy.extraTries_;
   plan.paysForRefusals_ = policy.paysForRefusals_;
+  plan.rerunCost_ = policy.rerunCost_;
   plan.keepsTimeForRetry_ = policy.keepsTimeForRetry_;
   plan.retriesServerErrors_ = policy.retriesServerErrors_;
   plan.heldBytes_ = policy.heldBytes_;
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -36,6 +36,7 @@
   //! Tries of a request besides those that reached an endpoint.
   std::uint32_t extraTries_ = 0;
   bool paysForRefusals_ = true;      //!< See CallPlan.
+  std::uint32_t rerunCost_ = 1;      //!< See CallPlan.
   bool keepsTimeForRetry_ = true;    //!< See CallPlan.
   bool retriesServerErrors_ = false; //!< See CallPlan.
   bool endsDownloadsInTime_ = false; //!< Whether a route's limit holds for whole downloads.
--- a/src/dandelionstand/caller/RetryBudget.cpp
+++ b/src/dandelionstand/caller/RetryBudget.cpp
@@ -10,13 +10,13 @@
   ++calls_;
 }
 
-bool RetryBudget::Spend(common::TimePoint aNow)
+bool RetryBudget::Spend(common::TimePoint aNow, std::uint32_t aCost)
 {
-  if (Left(aNow) < 1.0) {
+  if (Left(aNow) < static_cast<double>(aCost)) {
     return false;
   }
-  ++StepAt(aNow).retries_;
-  ++retries_;
+  StepAt(aNow).retries_ += aCost;
+  retries_ += aCost;
   return true;
 }
 
--- a/src/dandelionstand/caller/RetryBudget.h
+++ b/src/dandelionstand/caller/RetryBudget.h
@@ -34,8 +34,9 @@
 
   //! Counts a first attempt.
   void AddCall(common::TimePoint aNow);
-  //! Takes one retry from the budget; false if it is used up.
-  bool Spend(common::TimePoint aNow);
+  //! Takes a retry from the budget; false if it is used up. aCost is above 1 for one that may lead
+  //! to retries of other calls in turn.
+  bool Spend(common::TimePoint aNow, std::uint32_t aCost = 1);
   //! Retries that are left at present.
   double Left(common::TimePoint aNow);
 
--- a/src/dandelionstand/caller/WireCalls.cpp
+++ b/src/dandelionstand/caller/WireCalls.cpp
@@ -54,6 +54,7 @@
   aStart.set_traffic_class(static_cast<peer::wire::TrafficClass>(route.trafficClass_));
   aStart.set_time_left_ms(ToMilliseconds(aAttempt.timeLeft_));
   aStart.set_depth(aRequest.depth_ + 1);
+  aStart.set_caller_request_id(aRequest.id_);
   aStart.set_method(aRequest.method_);
   aStart.set_path(aRequest.target_);
   aStart.set_body(aRequest.body_);
--- a/src/dandelionstand/common/EventLog.cpp
+++ b/src/dandelionstand/common/EventLog.cpp
@@ -1,5 +1,7 @@
 #include "dandelionstand/common/EventLog.h"
 
+#include "dandelionstand/common/LogBudget.h"
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -7,8 +9,15 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/nullappender.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <climits>
 #include <memory>
+#include <utility>
 
 namespace dandelionstand::common {
 
@@ -45,6 +54,88 @@
   return log4cplus::Logger::getRoot();
 }
 
+Severity ToSeverity(log4cplus::LogLevel aLevel)
+{
+  if (aLevel >= log4cplus::ERROR_LOG_LEVEL) {
+    return Severity::kError;
+  }
+  if (aLevel >= log4cplus::WARN_LOG_LEVEL) {
+    return Severity::kWarn;
+  }
+  return aLevel >= log4cplus::INFO_LOG_LEVEL ? Severity::kInfo : Severity::kDebug;
+}
+
+//! Keeps lines in memory until they can be written without waiting.
+class BoundedAppender : public log4cplus::Appender
+{
+public:
+  ~BoundedAppender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+  void Flush()
+  {
+    const std::uint64_t dropped = budget_.TakeDropped() + std::exchange(overflowed_, 0);
+    if (dropped > 0) {
+      LogEvent(Severity::kError, "log_lines_left_out", { { "lines", dropped } });
+    }
+    while (!kept_.empty() && CanWrite()) {
+      // A pipe that polls as writable takes this much without waiting.
+      const std::size_t size = std::min<std::size_t>(kept_.size(), PIPE_BUF);
+      const ssize_t written = write(STDOUT_FILENO, kept_.data(), size);
+      if (written <= 0) {
+        return;
+      }
+      kept_.erase(0, static_cast<std::size_t>(written));
+    }
+  }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    log4cplus::tstring& line = formatEvent(aEvent);
+    if (!budget_.Admit(ToSeverity(aEvent.getLogLevel()), line.size(), Now())) {
+      return;
+    }
+    if (kept_.size() + line.size() > kMostKept) {
+      ++overflowed_;
+      return;
+    }
+    kept_ += line;
+  }
+
+private:
+  //! Bytes kept for a reader that does not read.
+  static constexpr std::size_t kMostKept = 256UL * 1024;
+
+  static bool CanWrite()
+  {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+  }
+
+  LogBudget budget_{ LogBudgetSettings{} };
+  std::string kept_;
+  std::uint64_t overflowed_ = 0;
+};
+
+//! The appender of StartBoundedEventLog; null if another one is in use.
+BoundedAppender*& Bounded()
+{
+  static BoundedAppender* appender = nullptr;
+  return appender;
+}
+
+void UseAppender(const log4cplus::SharedAppenderPtr& aAppender, const std::string& aProcess)
+{
+  const std::string pattern =
+    "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p process=" + aProcess + " %m%n";
+  aAppender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+  log4cplus::Logger root = Root();
+  root.removeAllAppenders();
+  root.addAppender(aAppender);
+}
+
 bool NeedsQuotes(const std::string& aValue)
 {
   return aValue.empty() || aValue.find_first_of(" =\"\n\r\t\\") != std::string::npos;
@@ -66,16 +157,25 @@
 
 void StartEventLog(const std::string& aProcess, Severity aLowest)
 {
-  log4cplus::Logger root = Root();
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-  const std::string pattern =
-    "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p process=" + aProcess + " %m%n";
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
-  root.removeAllAppenders();
-  root.addAppender(appender);
+  Bounded() = nullptr;
+  UseAppender(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)), aProcess);
   SetLogSeverity(aLowest);
 }
 
+void StartBoundedEventLog(const std::string& aProcess, Severity aLowest)
+{
+  Bounded() = new BoundedAppender;
+  UseAppender(log4cplus::SharedAppenderPtr(Bounded()), aProcess);
+  SetLogSeverity(aLowest);
+}
+
+void FlushEventLog()
+{
+  if (Bounded() != nullptr) {
+    Bounded()->Flush();
+  }
+}
+
 void SetLogSeverity(Severity aLowest)
 {
   Root().setLogLevel(ToLevel(aLowest));
--- a/src/dandelionstand/common/EventLog.h
+++ b/src/dandelionstand/common/EventLog.h
@@ -37,6 +37,14 @@
 //! Starts logging to standard error; aProcess is the `process=` value of every line.
 void StartEventLog(const std::string& aProcess, Severity aLowest);
 
+//! Starts logging to standard output within a budget; see LogBudget. A line never waits: it is kept
+//! until FlushEventLog finds room, and left out if too many are kept already.
+void StartBoundedEventLog(const std::string& aProcess, Severity aLowest);
+
+//! Writes the lines that are kept, as far as the reader takes them, and one that counts those left
+//! out. To be called several times a second, and before the process ends.
+void FlushEventLog();
+
 //! Changes the lowest severity that is written.
 void SetLogSeverity(Severity aLowest);
 
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -34,10 +34,14 @@
 constexpr common::Duration kLoneStart = 2s;
 //! The settings file may change without a signal.
 constexpr common::Duration kSettingsCheck = 2s;
+//! Lines of the log are written together, which saves a system call for each.
+constexpr common::Duration kLogFlush = 100ms;
 //! Parts of the shared budget and reserve that are used. The rest covers what one daemon does not
 //! see: the retries of requests that its own retries caused deeper in a chain.
 constexpr double kUsedRetryShare = 0.5;
 constexpr double kUsedRetryReserve = 0.6;
+//! A request makes up to two calls, and each of them may be tried again.
+constexpr std::uint32_t kRerunCost = 2;
 //! Answers up to this size can be had from another endpoint when one breaks off. It covers the
 //! largest downloads of the sites, at 16 MiB for 16 of them at a time.
 constexpr std::size_t kHeldBytes = 1024UL * 1024;
@@ -95,6 +99,7 @@
   if (aSettings.platform_) {
     policy.extraTries_ = 2;
     policy.paysForRefusals_ = false;
+    policy.rerunCost_ = kRerunCost;
     policy.keepsTimeForRetry_ = false;
     policy.retriesServerErrors_ = true;
     policy.endsDownloadsInTime_ = true;
@@ -200,6 +205,7 @@
   interrupt_ = loop_.OnSignal(SIGINT, [this] { OnTerminate(); });
   hangUp_ = loop_.OnSignal(SIGHUP, [this] { Reload("signal"); });
   settingsCheck_ = loop_.Every(kSettingsCheck, [this] { CheckSettingsFile(); });
+  logFlush_ = loop_.Every(kLogFlush, [] { common::FlushEventLog(); });
 }
 
 Daemon::~Daemon() = default;
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -87,6 +87,7 @@
   std::unique_ptr<platform::ReadinessServer> readinessServer_;
   std::unique_ptr<common::Watch> hangUp_;
   std::unique_ptr<common::Watch> settingsCheck_;
+  std::unique_ptr<common::Watch> logFlush_;
   std::unique_ptr<common::Watch> lastRequests_;
   std::unique_ptr<common::Watch> terminate_;
   std::unique_ptr<common::Watch> interrupt_;
--- a/src/dandelionstand/http/ServerConnection.h
+++ b/src/dandelionstand/http/ServerConnection.h
@@ -90,7 +90,7 @@
   std::uint64_t written_ = 0;  //!< Bytes of the front response.
   std::uint64_t reported_ = 0; //!< Of them, bytes that were reported as taken.
   bool isClosing_ = false;
-  bool isLast_ = false; //!< The response that ends the connection was written.
+  bool isLast_ = false;     //!< The response that ends the connection was written.
   bool isRejected_ = false; //!< The last request could not be read to its end.
   bool isLingering_ = false;
   bool isClosed_ = false;
--- a/src/dandelionstand/target/ForwardedCall.cpp
+++ b/src/dandelionstand/target/ForwardedCall.cpp
@@ -1,5 +1,6 @@
 #include "dandelionstand/target/ForwardedCall.h"
 
+#include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/common/HttpHeaders.h"
 #include "dandelionstand/target/AnswerSender.h"
@@ -215,6 +216,15 @@
 void ForwardedCall::Fail(const std::string& aReason, peer::wire::RunState aRunState)
 {
   isOver_ = true;
+  common::LogEvent(common::Severity::kWarn,
+                   "call_failed",
+                   { { "request", start_.caller_request_id() },
+                     { "from", key_.caller_.Get() },
+                     { "attempt", key_.attempt_ },
+                     { "reason", aReason },
+                     { "run", peer::wire::RunState_Name(aRunState) },
+                     { "version", start_.config_version() },
+                     { "time_left_ms", start_.time_left_ms() } });
   context_.sender_.SendFailed(from_, key_, aReason, aRunState);
   FinishLater();
 }
--- a/src/dandelionstand/target/ForwardedCall.h
+++ b/src/dandelionstand/target/ForwardedCall.h
@@ -55,6 +55,8 @@
   void Start(common::TimePoint aDeadline, const std::string& aExpectedInstance);
   void AddCredit(std::uint32_t aBytes);
   const peer::PeerRef& From() const { return from_; }
+  //! The request; its body is gone once it was handed to the target.
+  const peer::wire::CallStart& Request() const { return start_; }
 
 private:
   http::Headers CallerHeaders() const;
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -93,11 +93,11 @@
                                   const peer::wire::CallStart& aStart)
 {
   if (aStart.target_incarnation() != incarnation_.Get()) {
-    Refuse(aFrom, aKey, "wrong-incarnation");
+    Refuse(aFrom, aKey, aStart, "wrong-incarnation");
     return;
   }
   if (aStart.service() != target_.service_.Get()) {
-    Refuse(aFrom, aKey, ToText(RefuseReason::kNotReady));
+    Refuse(aFrom, aKey, aStart, ToText(RefuseReason::kNotReady));
     return;
   }
   if (calls_.contains(aKey)) {
@@ -140,7 +140,8 @@
       entry.call_->Start(entry.deadline_, target_.startId_);
     } else if (const auto* refusal = std::get_if<RefuseWork>(&action)) {
       const auto found = calls_.find(refusal->key_);
-      Refuse(found->second.call_->From(), refusal->key_, ToText(refusal->reason_));
+      const ForwardedCall& call = *found->second.call_;
+      Refuse(call.From(), refusal->key_, call.Request(), ToText(refusal->reason_));
       calls_.erase(found);
     }
   }
@@ -148,8 +149,20 @@
 
 void TargetForwarder::Refuse(const peer::PeerRef& aTo,
                              const AttemptKey& aKey,
+                             const peer::wire::CallStart& aStart,
                              std::string_view aReason)
 {
+  common::LogEvent(common::Severity::kWarn,
+                   "call_refused",
+                   { { "request", aStart.caller_request_id() },
+                     { "from", aKey.caller_.Get() },
+                     { "attempt", aKey.attempt_ },
+                     { "reason", aReason },
+                     { "version", aStart.config_version() },
+                     { "time_left_ms", aStart.time_left_ms() },
+                     { "running", queue_.Running() },
+                     { "queued", queue_.Queued() },
+                     { "slots", queue_.SlotsNow(common::Now()) } });
   counters_.Add("target_calls_refused_total{reason=\"" + std::string(aReason) + "\"}");
   sender_.SendFailed(aTo, aKey, aReason, peer::wire::NOT_RUN);
 }
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -80,7 +80,10 @@
   void OnCancel(const AttemptKey& aKey);
   void OnFinished(const AttemptKey& aKey);
   void Apply(const SlotActions& aActions);
-  void Refuse(const peer::PeerRef& aTo, const AttemptKey& aKey, std::string_view aReason);
+  void Refuse(const peer::PeerRef& aTo,
+              const AttemptKey& aKey,
+              const peer::wire::CallStart& aStart,
+              std::string_view aReason);
   void RefreshLimits();
   void Tick();
 
