Give up in time for those behind; prove the platform path with real processes

A request whose endpoint ended with 504 was tried twice more with 26 ms left; the caller's time ran out and with the connection went answers that were ready behind it. An answer of our own now leaves 40 ms before the caller's time, a 504 of an endpoint is passed on, and nothing is tried with under 55 ms left.

--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -316,7 +316,7 @@
     aFailed.runState_ == RunState::kNotRun || plan_.idempotency_ == Idempotency::kIdempotent;
   const bool hasReached = HasReachedEndpoint(aFailed);
   reached_ += hasReached ? 1 : 0;
-  if (!isSafe || aFailed.deep_ || aNow >= CallDeadline()) {
+  if (!isSafe || aFailed.deep_ || aNow + plan_.leastTimeForRetry_ >= CallDeadline()) {
     return false;
   }
   if (firstTries_ >= Tries() || reached_ >= plan_.attempts_ || !picker_.HasOther(tried_)) {
@@ -376,8 +376,10 @@
 
 bool CallMachine::IsRetriedStatus(const AttemptHead& aHead) const
 {
-  const bool isFailure = plan_.retriesServerErrors_ ? aHead.status_ >= kFirstServerError
-                                                    : aHead.status_ == kServiceUnavailable;
+  // A target that ran out of time would do so elsewhere.
+  const bool isFailure = plan_.retriesServerErrors_
+                           ? aHead.status_ >= kFirstServerError && aHead.status_ != kGatewayTimeout
+                           : aHead.status_ == kServiceUnavailable;
   return plan_.idempotency_ == Idempotency::kIdempotent && isFailure &&
          FindHeader(aHead.headers_, "Dandelion-Deep").empty();
 }
--- a/src/dandelionstand/caller/CallTypes.h
+++ b/src/dandelionstand/caller/CallTypes.h
@@ -38,6 +38,8 @@
   std::uint32_t tries_ = 0;
   //! Whether a try after a daemon's refusal takes from the retry budget, as others do.
   bool paysForRefusals_ = true;
+  //! With less time left no other endpoint is tried: it could not answer any more.
+  common::Duration leastTimeForRetry_{ 0 };
   //! What a second run takes from the retry budget: its calls are made again, and count too.
   std::uint32_t rerunCost_ = 1;
   //! Whether half of the time is kept for an attempt elsewhere.
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -24,6 +24,9 @@
 //! Chains of calls are up to 13 deep; more than this is a loop.
 constexpr std::uint32_t kMaxDepth = 32;
 
+//! The margin for an answer of our own takes at most this part of the caller's time.
+constexpr int kMarginShare = 10;
+
 //! Endpoints that a request which must not run twice is offered to, one after the other.
 constexpr std::uint32_t kTriesUntilRun = 3;
 
@@ -348,16 +351,21 @@
 {
   const common::TimePoint now = common::Now();
   const bool hasRange = !FindHeader(aRequest.headers_, "Range").empty();
+  const CallPolicy& policy = settings_.policy_;
   CallPlan plan;
   plan.idempotency_ = aRoute.idempotency_;
-  plan.headDeadline_ =
-    now + std::min(aRoute.timeout_, aRequest.timeLeft_.value_or(aRoute.timeout_));
+  plan.headDeadline_ = now + aRoute.timeout_;
+  if (aRequest.timeLeft_) {
+    const common::Duration left = *aRequest.timeLeft_;
+    const common::Duration margin = std::min(policy.callerMargin_, left / kMarginShare);
+    plan.headDeadline_ = std::min(plan.headDeadline_, now + left - margin);
+  }
   plan.idleLimit_ = std::min(aRoute.timeout_, kMostIdle);
   plan.attempts_ = std::max(1U, aRoute.attempts_);
-  const CallPolicy& policy = settings_.policy_;
   plan.tries_ = plan.attempts_ + policy.extraTries_;
   plan.paysForRefusals_ = policy.paysForRefusals_;
   plan.rerunCost_ = policy.rerunCost_;
+  plan.leastTimeForRetry_ = policy.leastTimeForRetry_;
   plan.keepsTimeForRetry_ = policy.keepsTimeForRetry_;
   plan.retriesServerErrors_ = policy.retriesServerErrors_;
   plan.heldBytes_ = policy.heldBytes_;
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -35,8 +35,12 @@
 {
   //! Tries of a request besides those that reached an endpoint.
   std::uint32_t extraTries_ = 0;
-  bool paysForRefusals_ = true;      //!< See CallPlan.
-  std::uint32_t rerunCost_ = 1;      //!< See CallPlan.
+  bool paysForRefusals_ = true;             //!< See CallPlan.
+  std::uint32_t rerunCost_ = 1;             //!< See CallPlan.
+  common::Duration leastTimeForRetry_{ 0 }; //!< See CallPlan.
+  //! An answer of our own leaves this much before the caller's time ends, so that it arrives, and
+  //! those that wait behind it on the connection do.
+  common::Duration callerMargin_{ 0 };
   bool keepsTimeForRetry_ = true;    //!< See CallPlan.
   bool retriesServerErrors_ = false; //!< See CallPlan.
   bool endsDownloadsInTime_ = false; //!< Whether a route's limit holds for whole downloads.
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -40,6 +40,10 @@
 //! see: the retries of requests that its own retries caused deeper in a chain.
 constexpr double kUsedRetryShare = 0.5;
 constexpr double kUsedRetryReserve = 0.6;
+//! The way to another region and back, and the shortest work of the sites, 30 ms.
+constexpr common::Duration kLeastTimeForRetry = 55ms;
+//! Clients are up to 8 ms away, and answers wait for the processor.
+constexpr common::Duration kCallerMargin = 40ms;
 //! A request makes up to two calls, and each of them may be tried again.
 constexpr std::uint32_t kRerunCost = 2;
 //! Answers up to this size can be had from another endpoint when one breaks off. It covers the
@@ -100,6 +104,8 @@
     policy.extraTries_ = 2;
     policy.paysForRefusals_ = false;
     policy.rerunCost_ = kRerunCost;
+    policy.leastTimeForRetry_ = kLeastTimeForRetry;
+    policy.callerMargin_ = kCallerMargin;
     policy.keepsTimeForRetry_ = false;
     policy.retriesServerErrors_ = true;
     policy.endsDownloadsInTime_ = true;
--- a/src/dandelionstand/http/RequestReader.cpp
+++ b/src/dandelionstand/http/RequestReader.cpp
@@ -41,7 +41,8 @@
   if (state_ == State::kHead) {
     used += ReadHead(aBytes.substr(used), aLimits);
   }
-  if (state_ == State::kBody) {
+  // The parser takes an empty piece for the end of the connection.
+  if (state_ == State::kBody && used < aBytes.size()) {
     used += Parse(aBytes.substr(used));
   }
   return used;
--- a/src/dandelionstand/http/ServerConnection.cpp
+++ b/src/dandelionstand/http/ServerConnection.cpp
@@ -181,7 +181,6 @@
 void ServerConnection::Reject()
 {
   handlers_.onRejected_(reader_.Status(), reader_.Fault());
-  isClosing_ = true;
   isRejected_ = true;
   bufferevent_disable(stream_, EV_READ);
   timer_.reset();
--- a/src/dandelionstand/platform/HttpClient.cpp
+++ b/src/dandelionstand/platform/HttpClient.cpp
@@ -64,7 +64,9 @@
     }
     evhttp_request_set_chunked_cb(request, &Exchange::OnBody);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", client_.settings_.address_.Get().c_str());
+    if (!request_.headers_.contains("Host")) {
+      evhttp_add_header(headers, "Host", client_.settings_.address_.Get().c_str());
+    }
     for (const auto& [name, value] : request_.headers_) {
       evhttp_add_header(headers, name.c_str(), value.c_str());
     }
--- a/src/dandelionstand/platform/HttpClient.h
+++ b/src/dandelionstand/platform/HttpClient.h
@@ -37,7 +37,7 @@
 {
   HttpMethod method_ = HttpMethod::kGet;
   std::string target_;                         //!< Path and query.
-  std::map<std::string, std::string> headers_; //!< Besides Host.
+  std::map<std::string, std::string> headers_; //!< Host, if absent, is the server's address.
   std::string body_;
   common::Duration timeout_{}; //!< From the call of Send to the end of the answer.
   //! Takes the body of a 200 in pieces instead of HttpAnswer::body_; false ends the answer early.
--- /dev/null
+++ b/tests/platform/ConfigDocumentTests.cpp
@@ -0,0 +1,86 @@
+#include "dandelionstand/platform/ConfigDocument.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace dandelionstand;
+using namespace dandelionstand::config;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string DocumentWith(const std::string& aRows)
+{
+  return R"({"version":"0000001f","routes":{"columns":["name","host","path-prefix","kind",
+    "timeout-s","target-latency-s","priority","traffic-split","max-attempts","service"],"rows":[)" +
+         aRows + R"(]},"services":{"columns":["name","health-check-path","connection-limit",
+    "protocol","tls"],"rows":[["s1","/health",110,"h1",false]]},"limits":{"max-header-bytes":16384,
+    "max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15}})";
+}
+
+const std::string kBrowse =
+  R"(["browse","a.example","/x/","safe",1.5,0.6,2,[{"service":"s1","weight":90},)"
+  R"({"service":"s2","weight":10}],2,null])";
+const std::string kOrder = R"(["order","b.example","/x/y/","unsafe",1.2,0.8,1,null,3,"s3"])";
+
+} // namespace
+
+TEST_CASE("The operator's document becomes a configuration", "[platform][document]")
+{
+  common::Findings findings;
+  const ConfigStatePtr state =
+    platform::DecodeConfigDocument(DocumentWith(kBrowse + "," + kOrder), findings);
+  REQUIRE(findings.ToString().empty());
+  REQUIRE(state);
+  CHECK(state->version_ == common::Version(0x1f));
+  const Route& browse = state->routes_.at(RouteName("browse")).value_;
+  CHECK(browse.idempotency_ == Idempotency::kIdempotent);
+  CHECK(browse.timeout_ == 1500ms);
+  CHECK(browse.objective_ == 600ms);
+  CHECK(browse.priority_ == 2);
+  CHECK(browse.split_ == std::vector<SplitPart>{ { common::ServiceName("s1"), 90 },
+                                                 { common::ServiceName("s2"), 10 } });
+  const Route& order = state->routes_.at(RouteName("order")).value_;
+  CHECK(order.idempotency_ == Idempotency::kOnce);
+  CHECK(order.endpoints_ == common::ServiceName("s3"));
+  CHECK(order.attempts_ == 3);
+  REQUIRE(state->clientLimits_);
+  CHECK(state->clientLimits_->headTime_ == 3s);
+  CHECK(state->clientLimits_->idleTime_ == 15s);
+}
+
+TEST_CASE("A route is matched by its host, then by its longest prefix", "[platform][document]")
+{
+  common::Findings findings;
+  const ConfigStatePtr state = platform::DecodeConfigDocument(
+    DocumentWith(kBrowse + R"(,["deep","a.example","/x/y/","safe",1,1,0,null,1,"s1"])"), findings);
+  REQUIRE(state);
+  CHECK(state->Match("a.example", "GET", "/x/1")->first == RouteName("browse"));
+  CHECK(state->Match("a.example", "POST", "/x/y/1")->first == RouteName("deep"));
+  CHECK(state->Match("c.example", "GET", "/x/1") == nullptr);
+  CHECK(state->Match("a.example", "GET", "/x") == nullptr);
+}
+
+TEST_CASE("A document with a fault is refused whole with every finding", "[platform][document]")
+{
+  common::Findings findings;
+  CHECK(platform::DecodeConfigDocument(
+          DocumentWith(kBrowse + R"(,["bad",7,"/x/","safe","long",1,0,null,1,null])"), findings) ==
+        nullptr);
+  CHECK(findings.All().size() == 3);
+  for (const char* text : { "", "[]", "{}", R"({"version":"xyz"})", R"({"version":12})" }) {
+    common::Findings more;
+    CHECK(platform::DecodeConfigDocument(text, more) == nullptr);
+    CHECK_FALSE(more.IsEmpty());
+  }
+}
+
+TEST_CASE("A kind that is not known is never repeated", "[platform][document]")
+{
+  common::Findings findings;
+  const ConfigStatePtr state = platform::DecodeConfigDocument(
+    DocumentWith(R"(["r","a","/x/","novel",1,1,0,null,1,"s1"])"), findings);
+  REQUIRE(state);
+  CHECK(state->routes_.at(RouteName("r")).value_.idempotency_ == Idempotency::kOnce);
+}
--- /dev/null
+++ b/tests/platform/HttpDialectTests.cpp
@@ -0,0 +1,85 @@
+#include "dandelionstand/platform/HttpDialect.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand;
+using namespace std::chrono_literals;
+using dialect::AnswerVerdict;
+using http::FindHeader;
+
+namespace {
+
+const std::string kId = "X-Dandelionstand-Request-Id";
+const std::string kSignature = "X-Dandelionstand-Response-Signature";
+
+http::Request RequestWith(http::Headers aHeaders)
+{
+  http::Request request;
+  request.method_ = "GET";
+  request.target_ = "/x/1?y=2";
+  request.headers_ = std::move(aHeaders);
+  return request;
+}
+
+AnswerVerdict Judge(std::uint32_t aStatus, http::Headers aHeaders)
+{
+  const platform::HttpTargetDialect dialect;
+  return dialect.Judge({ { kId, "1" } }, { aStatus, std::move(aHeaders) });
+}
+
+} // namespace
+
+TEST_CASE("A client's request loses what only the system may say", "[platform][dialect]")
+{
+  const platform::HttpCallerDialect dialect(common::ServiceName("own"));
+  const dialect::CallerRequest request =
+    dialect.Read(RequestWith({ { "Host", "a.example" },
+                               { kId, "77" },
+                               { "X-Dandelionstand-Deadline-Milliseconds", "1500" },
+                               { "X-Dandelionstand-Caller-Service", "forged" },
+                               { "X-Dandelionstand-Expected-Instance", "forged" },
+                               { "X-Other", "kept" },
+                               { "Connection", "keep-alive, X-Hop" },
+                               { "X-Hop", "gone" } }));
+  CHECK(request.isValid_);
+  CHECK(request.id_ == "77");
+  CHECK(request.host_ == "a.example");
+  CHECK(request.path_ == "/x/1");
+  CHECK(request.target_ == "/x/1?y=2");
+  CHECK(request.timeLeft_ == common::Duration(1500ms));
+  CHECK(request.headers_ == http::Headers{ { kId, "77" },
+                                           { "X-Other", "kept" },
+                                           { "Host", "a.example" },
+                                           { "X-Dandelionstand-Caller-Service", "own" } });
+}
+
+TEST_CASE("A request to the target carries its time and the start it is for", "[platform][dialect]")
+{
+  const platform::HttpTargetDialect dialect;
+  const http::Headers headers =
+    dialect.WriteHeaders({ { kId, "1" } }, { "10.0.0.1:80", "i-7", 1234ms, 1 });
+  CHECK(FindHeader(headers, "X-Dandelionstand-Deadline-Milliseconds") == "1234");
+  CHECK(FindHeader(headers, "X-Dandelionstand-Expected-Instance") == "i-7");
+}
+
+TEST_CASE("A refusal says when to come back", "[platform][dialect]")
+{
+  const platform::HttpCallerDialect dialect(common::ServiceName("own"));
+  const http::ResponseHead head =
+    dialect.WriteRefusal({ 503, "queue-full", dialect::RunState::kNotRun, false, 250ms });
+  CHECK(head.status_ == 503);
+  CHECK(FindHeader(head.headers_, "Retry-After") == "0.250");
+}
+
+TEST_CASE("Answers are judged by their id, signature and marks", "[platform][dialect]")
+{
+  CHECK(Judge(200, { { kId, "1" }, { kSignature, "s" } }) == AnswerVerdict::kOwn);
+  CHECK(Judge(500, { { kId, "1" } }) == AnswerVerdict::kOwn);
+  CHECK(Judge(200, { { kId, "2" }, { kSignature, "s" } }) == AnswerVerdict::kForeign);
+  CHECK(Judge(503, { { kId, "1" }, { "X-Dandelionstand-Not-Executed", "1" } }) ==
+        AnswerVerdict::kNotRun);
+  CHECK(Judge(503, { { "X-Dandelionstand-Not-Executed", "1" } }) == AnswerVerdict::kNotRun);
+  CHECK(Judge(421, { { "X-Dandelionstand-Instance-Id", "i-2" } }) == AnswerVerdict::kMisplaced);
+  CHECK(Judge(200, { { kId, "1" } }) == AnswerVerdict::kInvalid);
+  CHECK(Judge(200, { { kSignature, "s" } }) == AnswerVerdict::kInvalid);
+}
--- /dev/null
+++ b/tests/target/TargetRecordTests.cpp
@@ -0,0 +1,89 @@
+#include "dandelionstand/target/TargetRecord.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionstand;
+using namespace dandelionstand::target;
+using namespace std::chrono_literals;
+using Verdict = TargetRecord::Verdict;
+
+namespace {
+
+constexpr common::TimePoint kStart{ 1h };
+
+TargetAnnouncement Announcement(const std::string& aId,
+                                std::uint64_t aBorn,
+                                std::uint64_t aSequence,
+                                TargetPhase aPhase = TargetPhase::kReady)
+{
+  TargetAnnouncement news;
+  news.startId_ = aId;
+  news.bornMs_ = aBorn;
+  news.sequence_ = aSequence;
+  news.phase_ = aPhase;
+  news.slots_ = 9;
+  return news;
+}
+
+} // namespace
+
+TEST_CASE("A late announcement does not make a draining target ready", "[target][record]")
+{
+  TargetRecord record(6s);
+  CHECK_FALSE(record.IsReady(kStart));
+  record.Apply(Announcement("a", 10, 1), kStart);
+  CHECK(record.IsReady(kStart));
+  record.Apply(Announcement("a", 10, 3, TargetPhase::kDraining), kStart);
+  CHECK_FALSE(record.IsReady(kStart));
+  CHECK(record.Apply(Announcement("a", 10, 2), kStart) == Verdict::kStale);
+  CHECK(record.Apply(Announcement("a", 10, 4), kStart) == Verdict::kApplied);
+  CHECK_FALSE(record.IsReady(kStart));
+}
+
+TEST_CASE("A leave is final for its start, also before later announcements", "[target][record]")
+{
+  TargetRecord record(6s);
+  record.Apply(Announcement("a", 10, 5), kStart);
+  record.Apply(Announcement("a", 0, 0, TargetPhase::kGone), kStart);
+  CHECK_FALSE(record.IsReady(kStart));
+  record.Apply(Announcement("a", 10, 6), kStart);
+  CHECK_FALSE(record.IsReady(kStart));
+}
+
+TEST_CASE("News of an earlier start are dropped", "[target][record]")
+{
+  TargetRecord record(6s);
+  record.Apply(Announcement("b", 20, 1), kStart);
+  SECTION("with another name")
+  {
+    CHECK(record.Apply(Announcement("a", 10, 9), kStart) == Verdict::kStale);
+    CHECK(record.Apply(Announcement("a", 0, 0, TargetPhase::kGone), kStart) == Verdict::kStale);
+  }
+  SECTION("with the same name")
+  {
+    CHECK(record.Apply(Announcement("b", 10, 9), kStart) == Verdict::kStale);
+    CHECK(record.Apply(Announcement("b", 10, 0, TargetPhase::kGone), kStart) == Verdict::kStale);
+  }
+  CHECK(record.IsReady(kStart));
+}
+
+TEST_CASE("A new start under the same name begins anew", "[target][record]")
+{
+  TargetRecord record(6s);
+  record.Apply(Announcement("a", 10, 50, TargetPhase::kDraining), kStart);
+  CHECK(record.Apply(Announcement("a", 20, 1), kStart) == Verdict::kApplied);
+  CHECK(record.IsReady(kStart));
+}
+
+TEST_CASE("A silent or unreachable target is not ready until it is heard", "[target][record]")
+{
+  TargetRecord record(6s);
+  record.Apply(Announcement("a", 10, 1), kStart);
+  CHECK(record.IsReady(kStart + 5s));
+  CHECK_FALSE(record.IsReady(kStart + 6s));
+  record.Apply(Announcement("a", 10, 2), kStart + 7s);
+  record.MarkUnreachable();
+  CHECK_FALSE(record.IsReady(kStart + 7s));
+  record.Apply(Announcement("a", 10, 3), kStart + 8s);
+  CHECK(record.IsReady(kStart + 8s));
+}
