Admit by latency objective and rank on the platform's path

The queue went by class shares and deadline, so slots went to work that had waited its objective away: late answers outnumbered those in time. UrgencyQueue gives a slot to the best-ranked work that can be in time, refuses at once what would be late while another endpoint is left, and lets late work have what nothing in time wants.

--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -282,6 +282,10 @@
     const common::Duration forAttempt = mayHaveNext ? left / 2 : left;
     attemptDeadline_ = aNow + forAttempt;
     send.timeLeft_ = WithoutMargin(forAttempt);
+    send.hasOther_ = firstTries_ < Tries() && picker_.HasOther(tried_);
+    if (plan_.objective_) {
+      send.objectiveLeft_ = *plan_.objective_ - aNow;
+    }
   }
   aActions.push_back(std::move(send));
 }
--- a/src/dandelionstand/caller/CallTypes.h
+++ b/src/dandelionstand/caller/CallTypes.h
@@ -30,6 +30,8 @@
   common::TimePoint headDeadline_;
   //! Time for the whole answer; nullopt for downloads, which only have to go on.
   std::optional<common::TimePoint> endDeadline_;
+  //! Time for an answer of full worth; none: an answer is worth the same until the deadline.
+  std::optional<common::TimePoint> objective_;
   //! A download without any progress for this long is broken off and continued elsewhere.
   common::Duration idleLimit_ = std::chrono::seconds(2);
   //! Endpoints that the request may reach.
@@ -68,6 +70,9 @@
   Endpoint endpoint_;
   common::Duration timeLeft_{ 0 };
   std::optional<Continuation> continuation_;
+  //! Until the latency objective; negative once it is missed. None: the call has no objective.
+  std::optional<common::Duration> objectiveLeft_;
+  bool hasOther_ = false; //!< Another endpoint will be tried if this one refuses.
   std::uint32_t creditBytes_ = 0; //!< Body bytes that may be sent before the first credit.
 };
 
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -274,7 +274,7 @@
 
 void CallerServer::Submit(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute)
 {
-  const CallPlan plan = MakePlan(aRequest, aRoute.route_);
+  const CallPlan plan = MakePlan(aRequest, aRoute);
   const bool isKeyed =
     aRoute.route_.idempotency_ == config::Idempotency::kKeyed && !aRequest.idempotencyKey_.empty();
   if (!isKeyed) {
@@ -347,35 +347,41 @@
   return limits == config->limits_.end() ? config::Limits{} : limits->second.value_;
 }
 
-CallPlan CallerServer::MakePlan(const CallerRequest& aRequest, const config::Route& aRoute) const
+CallPlan CallerServer::MakePlan(const CallerRequest& aRequest, const CallRoute& aCallRoute)
 {
+  const config::Route& route = aCallRoute.route_;
   const common::TimePoint now = common::Now();
   const bool hasRange = !FindHeader(aRequest.headers_, "Range").empty();
   const CallPolicy& policy = settings_.policy_;
   CallPlan plan;
-  plan.idempotency_ = aRoute.idempotency_;
-  plan.headDeadline_ = now + aRoute.timeout_;
+  plan.idempotency_ = route.idempotency_;
+  plan.headDeadline_ = now + route.timeout_;
   if (aRequest.timeLeft_) {
     const common::Duration left = *aRequest.timeLeft_;
     const common::Duration margin = std::min(policy.callerMargin_, left / kMarginShare);
     plan.headDeadline_ = std::min(plan.headDeadline_, now + left - margin);
   }
-  plan.idleLimit_ = std::min(aRoute.timeout_, kMostIdle);
-  plan.attempts_ = std::max(1U, aRoute.attempts_);
+  plan.idleLimit_ = std::min(route.timeout_, kMostIdle);
+  plan.attempts_ = std::max(1U, route.attempts_);
   plan.tries_ = plan.attempts_ + policy.extraTries_;
   plan.paysForRefusals_ = policy.paysForRefusals_;
+  if (policy.hasObjectives_) {
+    const common::Duration age =
+      aRequest.timeLeft_ ? ages_.AgeOf(aCallRoute.name_, *aRequest.timeLeft_, now) : common::Duration(0);
+    plan.objective_ = now + route.objective_ - age;
+  }
   plan.rerunCost_ = policy.rerunCost_;
   plan.leastTimeForRetry_ = policy.leastTimeForRetry_;
   plan.keepsTimeForRetry_ = policy.keepsTimeForRetry_;
   plan.retriesServerErrors_ = policy.retriesServerErrors_;
   plan.heldBytes_ = policy.heldBytes_;
-  if (aRoute.idempotency_ != config::Idempotency::kIdempotent) {
+  if (route.idempotency_ != config::Idempotency::kIdempotent) {
     // The route's limit is on attempts that may run; refusals that did not run come on top.
     plan.tries_ = std::max(plan.tries_, kTriesUntilRun);
   }
   plan.mayContinue_ = aRequest.method_ == "GET" && !hasRange;
   const bool mayGoOn =
-    aRoute.trafficClass_ == config::TrafficClass::kDownload && !policy.endsDownloadsInTime_;
+    route.trafficClass_ == config::TrafficClass::kDownload && !policy.endsDownloadsInTime_;
   if (!mayGoOn) {
     plan.endDeadline_ = plan.headDeadline_;
   } else if (aRequest.timeLeft_) {
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -3,6 +3,7 @@
 
 #include "dandelionstand/caller/ActiveCall.h"
 #include "dandelionstand/caller/KeyedOrders.h"
+#include "dandelionstand/caller/CallerAges.h"
 #include "dandelionstand/caller/ServicePolicies.h"
 #include "dandelionstand/caller/TrafficSplit.h"
 #include "dandelionstand/common/Ids.h"
@@ -43,6 +44,7 @@
   common::Duration callerMargin_{ 0 };
   bool keepsTimeForRetry_ = true;    //!< See CallPlan.
   bool retriesServerErrors_ = false; //!< See CallPlan.
+  bool hasObjectives_ = false; //!< Whether the objectives of routes decide who waits.
   bool endsDownloadsInTime_ = false; //!< Whether a route's limit holds for whole downloads.
   std::size_t heldBytes_ = 64UL * 1024;
 };
@@ -107,7 +109,7 @@
                             const CallPlan& aPlan,
                             AnswerSink& aSink);
   config::Limits LimitsOf(const common::ServiceName& aService) const;
-  CallPlan MakePlan(const CallerRequest& aRequest, const config::Route& aRoute) const;
+  CallPlan MakePlan(const CallerRequest& aRequest, const CallRoute& aRoute);
   void OnEnvelope(const peer::PeerRef& aFrom, const peer::wire::Envelope& aEnvelope);
   void OnLinkLost(const common::Address& aAddress);
   ActiveCall* FindCall(common::RequestId aId);
@@ -121,6 +123,7 @@
   CallerServerSettings settings_;
   ServicePolicies policies_;
   TrafficSplit split_;
+  CallerAges ages_;
   std::mt19937_64 random_;
   KeyedOrders orders_;
   http::Server server_;
--- a/src/dandelionstand/caller/WireCalls.cpp
+++ b/src/dandelionstand/caller/WireCalls.cpp
@@ -58,6 +58,12 @@
   aStart.set_method(aRequest.method_);
   aStart.set_path(aRequest.target_);
   aStart.set_body(aRequest.body_);
+  aStart.set_rank(route.priority_);
+  aStart.set_has_other_endpoints(aAttempt.hasOther_);
+  if (aAttempt.objectiveLeft_) {
+    aStart.set_has_objective(true);
+    aStart.set_objective_left_ms(ToMilliseconds(*aAttempt.objectiveLeft_));
+  }
   aStart.set_credit_bytes(aAttempt.creditBytes_);
   for (const Header& header : aRequest.headers_) {
     AddHeader(aStart, header.name_, header.value_);
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -6,6 +6,8 @@
 #include "dandelionstand/daemon/PublishedConfig.h"
 #include "dandelionstand/dialect/NativeDialect.h"
 #include "dandelionstand/platform/HttpDialect.h"
+#include "dandelionstand/target/SlotQueue.h"
+#include "dandelionstand/target/UrgencyQueue.h"
 
 #include <sigc++/functors/mem_fun.h>
 
@@ -108,6 +110,7 @@
     policy.callerMargin_ = kCallerMargin;
     policy.keepsTimeForRetry_ = false;
     policy.retriesServerErrors_ = true;
+    policy.hasObjectives_ = true;
     policy.endsDownloadsInTime_ = true;
     policy.heldBytes_ = kHeldBytes;
   }
@@ -130,6 +133,14 @@
   return std::make_unique<dialect::NativeTargetDialect>();
 }
 
+std::unique_ptr<target::AdmissionQueue> MakeQueue(const Settings& aSettings)
+{
+  if (aSettings.platform_) {
+    return std::make_unique<target::UrgencyQueue>();
+  }
+  return std::make_unique<target::SlotQueue>(target::SlotSettings{});
+}
+
 std::string ReadText(const std::string& aFile)
 {
   std::ifstream file(aFile);
@@ -178,6 +189,7 @@
                transport_,
                *targetDialect_,
                incarnation_,
+               MakeQueue(aSettings),
                [this] { return config_->InForce(); })
   , callerServer_(
       loop_,
--- /dev/null
+++ b/src/dandelionstand/target/AdmissionQueue.h
@@ -0,0 +1,90 @@
+#ifndef dandelionstand_target_AdmissionQueue_h
+#define dandelionstand_target_AdmissionQueue_h
+
+#include "dandelionstand/common/Time.h"
+#include "dandelionstand/config/Resources.h"
+#include "dandelionstand/target/AttemptKey.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace dandelionstand::target {
+
+//! One request that wants a slot.
+struct Work
+{
+  AttemptKey key_;
+  config::TrafficClass trafficClass_ = config::TrafficClass::kBrowse;
+  common::TimePoint deadline_;
+  common::TimePoint objective_ = common::TimePoint::max(); //!< Full worth for an answer by then.
+  std::uint32_t rank_ = 0;                                 //!< 0 goes first.
+  std::string route_;                                      //!< Requests of a route take alike.
+  //! No other endpoint will be tried, so it may wait here beyond its objective.
+  bool mayBeLate_ = true;
+};
+
+enum class RefuseReason
+{
+  kNotReady,  //!< The target has not announced itself, or left.
+  kDraining,  //!< The target or the daemon is leaving.
+  kQueueFull, //!< Every place in the queue is taken by work that goes first.
+  kHopeless,  //!< The time left is less than the wait and the work would take.
+  kBusy,      //!< It would be late here, and may be in time elsewhere.
+};
+
+//! The reason's text in answers, logs and counters.
+std::string_view ToText(RefuseReason aReason);
+
+//! Forward the request now.
+struct StartWork
+{
+  AttemptKey key_;
+  bool operator==(const StartWork&) const = default;
+};
+
+//! Answer that the request was not run. Given only for work that was never started.
+struct RefuseWork
+{
+  AttemptKey key_;
+  RefuseReason reason_ = RefuseReason::kNotReady;
+  bool operator==(const RefuseWork&) const = default;
+};
+
+using SlotAction = std::variant<StartWork, RefuseWork>;
+using SlotActions = std::vector<SlotAction>;
+
+//! Decides which requests run on a target's slots, which wait, and which are refused.
+class AdmissionQueue
+{
+public:
+  virtual ~AdmissionQueue();
+
+  //! Takes new limits; running work above a lower count of slots finishes.
+  virtual SlotActions SetLimits(std::uint32_t aSlots,
+                                std::uint32_t aQueueLength,
+                                common::TimePoint aNow) = 0;
+  //! The target can take work, in a growing share of its slots during aRampUp after the first call.
+  virtual SlotActions Ready(common::TimePoint aNow, common::Duration aRampUp) = 0;
+  //! The target is gone: waiting work is refused; running work is ended by its own result.
+  virtual SlotActions NotReady(common::TimePoint aNow) = 0;
+  //! No new work is accepted. Waiting work may start for a while.
+  virtual SlotActions Drain(common::TimePoint aNow) = 0;
+
+  virtual SlotActions Offer(const Work& aWork, common::TimePoint aNow) = 0;
+  //! Running work ended, in whichever way; waiting work is dropped if aKey names it.
+  virtual SlotActions Finished(const AttemptKey& aKey, common::TimePoint aNow) = 0;
+  //! To be called a few times a second.
+  virtual SlotActions Tick(common::TimePoint aNow) = 0;
+
+  virtual std::size_t Running() const = 0;
+  virtual std::size_t Queued() const = 0;
+  //! Slots that may be used at present.
+  virtual std::uint32_t SlotsNow(common::TimePoint aNow) const = 0;
+};
+
+} // namespace dandelionstand::target
+
+#endif // dandelionstand_target_AdmissionQueue_h
--- a/src/dandelionstand/target/SlotQueue.cpp
+++ b/src/dandelionstand/target/SlotQueue.cpp
@@ -28,21 +28,6 @@
 
 } // namespace
 
-std::string_view ToText(RefuseReason aReason)
-{
-  switch (aReason) {
-    case RefuseReason::kNotReady:
-      return "target-not-ready";
-    case RefuseReason::kDraining:
-      return "draining";
-    case RefuseReason::kQueueFull:
-      return "queue-full";
-    case RefuseReason::kHopeless:
-      return "deadline-hopeless";
-  }
-  return "refused";
-}
-
 SlotQueue::SlotQueue(SlotSettings aSettings)
   : settings_(aSettings)
 {
--- a/src/dandelionstand/target/SlotQueue.h
+++ b/src/dandelionstand/target/SlotQueue.h
@@ -1,57 +1,15 @@
 #ifndef dandelionstand_target_SlotQueue_h
 #define dandelionstand_target_SlotQueue_h
 
-#include "dandelionstand/common/Time.h"
-#include "dandelionstand/config/Resources.h"
-#include "dandelionstand/target/AttemptKey.h"
+#include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/ServiceTime.h"
 
 #include <array>
 #include <cstdint>
 #include <map>
-#include <string_view>
-#include <variant>
-#include <vector>
 
 namespace dandelionstand::target {
 
-//! One request that wants a slot.
-struct Work
-{
-  AttemptKey key_;
-  config::TrafficClass trafficClass_ = config::TrafficClass::kBrowse;
-  common::TimePoint deadline_;
-};
-
-enum class RefuseReason
-{
-  kNotReady,  //!< The target has not announced itself, or left.
-  kDraining,  //!< The target or the daemon is leaving.
-  kQueueFull, //!< Every place in the queue is taken by work that goes first.
-  kHopeless,  //!< The time left is less than the wait and the work would take.
-};
-
-//! The reason's text in answers, logs and counters.
-std::string_view ToText(RefuseReason aReason);
-
-//! Forward the request now.
-struct StartWork
-{
-  AttemptKey key_;
-  bool operator==(const StartWork&) const = default;
-};
-
-//! Answer that the request was not run. Given only for work that was never started.
-struct RefuseWork
-{
-  AttemptKey key_;
-  RefuseReason reason_ = RefuseReason::kNotReady;
-  bool operator==(const RefuseWork&) const = default;
-};
-
-using SlotAction = std::variant<StartWork, RefuseWork>;
-using SlotActions = std::vector<SlotAction>;
-
 //! Settings of a SlotQueue; slots and queue length come from the service's limits.
 struct SlotSettings
 {
@@ -67,34 +25,36 @@
 //!
 //! A free slot goes to the waiting class with the least running work for its share, and within the
 //! class to the request with the least time left that can still make it.
-class SlotQueue
+class SlotQueue : public AdmissionQueue
 {
 public:
   explicit SlotQueue(SlotSettings aSettings);
 
   //! Takes new limits; running work above a lower count of slots finishes.
-  SlotActions SetLimits(std::uint32_t aSlots, std::uint32_t aQueueLength, common::TimePoint aNow);
+  SlotActions SetLimits(std::uint32_t aSlots,
+                        std::uint32_t aQueueLength,
+                        common::TimePoint aNow) override;
 
   //! The target can take work; a first announcement starts the cold-start ramp.
   SlotActions Ready(common::TimePoint aNow);
-  SlotActions Ready(common::TimePoint aNow, common::Duration aRampUp);
+  SlotActions Ready(common::TimePoint aNow, common::Duration aRampUp) override;
   //! The target is gone: waiting work is refused; running work is ended by its own result.
-  SlotActions NotReady(common::TimePoint aNow);
+  SlotActions NotReady(common::TimePoint aNow) override;
   //! No new work is accepted. Waiting work may start until the drain's queue time is over.
-  SlotActions Drain(common::TimePoint aNow);
+  SlotActions Drain(common::TimePoint aNow) override;
 
-  SlotActions Offer(const Work& aWork, common::TimePoint aNow);
+  SlotActions Offer(const Work& aWork, common::TimePoint aNow) override;
   //! Running work ended, in whichever way; waiting work is dropped if aKey names it.
-  SlotActions Finished(const AttemptKey& aKey, common::TimePoint aNow);
+  SlotActions Finished(const AttemptKey& aKey, common::TimePoint aNow) override;
   //! Removes waiting work without an action. False if aKey is not waiting.
   bool Cancel(const AttemptKey& aKey);
   //! Sheds what became hopeless and lets the cold-start ramp go on; called a few times a second.
-  SlotActions Tick(common::TimePoint aNow);
+  SlotActions Tick(common::TimePoint aNow) override;
 
-  std::size_t Running() const { return running_.size(); }
-  std::size_t Queued() const;
+  std::size_t Running() const override { return running_.size(); }
+  std::size_t Queued() const override;
   //! Slots that may be used at present, after the cold-start ramp.
-  std::uint32_t SlotsNow(common::TimePoint aNow) const;
+  std::uint32_t SlotsNow(common::TimePoint aNow) const override;
   std::uint32_t Slots() const { return settings_.slots_; }
   bool IsDraining() const { return draining_; }
   bool IsReady() const { return ready_; }
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -33,6 +33,7 @@
                                  peer::Transport& aTransport,
                                  const dialect::TargetDialect& aDialect,
                                  common::Incarnation aIncarnation,
+                                 std::unique_ptr<AdmissionQueue> aQueue,
                                  ConfigSource aConfig)
   : loop_(aLoop)
   , counters_(aCounters)
@@ -41,7 +42,7 @@
   , config_(std::move(aConfig))
   , sender_(aTransport, [this] { return LoadNow(); })
   , connections_(aLoop)
-  , queue_(SlotSettings{})
+  , queue_(std::move(aQueue))
   , callContext_{ aLoop, sender_, connections_, aDialect, [this](const std::string& aReason) {
                    targetLost_.emit(aReason);
                  } }
@@ -61,16 +62,16 @@
   common::HostAndPort address;
   RefreshLimits();
   if (!common::ParseAddress(aTarget.address_.Get(), address)) {
-    Apply(queue_.NotReady(common::Now()));
+    Apply(queue_->NotReady(common::Now()));
     return;
   }
   connections_.SetTarget(address);
-  Apply(queue_.Ready(common::Now(), aTarget.rampUp_));
+  Apply(queue_->Ready(common::Now(), aTarget.rampUp_));
 }
 
 void TargetForwarder::StartDrain()
 {
-  Apply(queue_.Drain(common::Now()));
+  Apply(queue_->Drain(common::Now()));
 }
 
 void TargetForwarder::OnEnvelope(const peer::PeerRef& aFrom, const peer::wire::Envelope& aEnvelope)
@@ -112,7 +113,14 @@
                      callContext_, aFrom, aKey, aStart, [this](const AttemptKey& aEnded) {
                        OnFinished(AttemptKey(aEnded));
                      }) };
-  Apply(queue_.Offer({ aKey, trafficClass, deadline }, now));
+  Work work{ aKey, trafficClass, deadline };
+  if (aStart.has_objective()) {
+    work.objective_ = now + std::chrono::milliseconds(aStart.objective_left_ms());
+  }
+  work.rank_ = aStart.rank();
+  work.route_ = aStart.route();
+  work.mayBeLate_ = !aStart.has_other_endpoints();
+  Apply(queue_->Offer(work, now));
 }
 
 void TargetForwarder::OnCancel(const AttemptKey& aKey)
@@ -128,7 +136,7 @@
 void TargetForwarder::OnFinished(const AttemptKey& aKey)
 {
   calls_.erase(aKey);
-  Apply(queue_.Finished(aKey, common::Now()));
+  Apply(queue_->Finished(aKey, common::Now()));
 }
 
 void TargetForwarder::Apply(const SlotActions& aActions)
@@ -160,9 +168,9 @@
                      { "reason", aReason },
                      { "version", aStart.config_version() },
                      { "time_left_ms", aStart.time_left_ms() },
-                     { "running", queue_.Running() },
-                     { "queued", queue_.Queued() },
-                     { "slots", queue_.SlotsNow(common::Now()) } });
+                     { "running", queue_->Running() },
+                     { "queued", queue_->Queued() },
+                     { "slots", queue_->SlotsNow(common::Now()) } });
   counters_.Add("target_calls_refused_total{reason=\"" + std::string(aReason) + "\"}");
   sender_.SendFailed(aTo, aKey, aReason, peer::wire::NOT_RUN);
 }
@@ -183,21 +191,21 @@
   }
   connections_.SetLimit(limits->second.value_.connections_);
   const std::uint32_t slots = target_.slots_ > 0 ? target_.slots_ : limits->second.value_.slots_;
-  Apply(queue_.SetLimits(slots, limits->second.value_.queueLength_, common::Now()));
+  Apply(queue_->SetLimits(slots, limits->second.value_.queueLength_, common::Now()));
 }
 
 void TargetForwarder::Tick()
 {
   RefreshLimits();
-  Apply(queue_.Tick(common::Now()));
+  Apply(queue_->Tick(common::Now()));
 }
 
 peer::wire::Load TargetForwarder::LoadNow() const
 {
   peer::wire::Load load;
-  load.set_running(static_cast<std::uint32_t>(queue_.Running()));
-  load.set_queued(static_cast<std::uint32_t>(queue_.Queued()));
-  load.set_slots(queue_.SlotsNow(common::Now()));
+  load.set_running(static_cast<std::uint32_t>(queue_->Running()));
+  load.set_queued(static_cast<std::uint32_t>(queue_->Queued()));
+  load.set_slots(queue_->SlotsNow(common::Now()));
   return load;
 }
 
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -6,7 +6,7 @@
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/target/AnswerSender.h"
 #include "dandelionstand/target/ForwardedCall.h"
-#include "dandelionstand/target/SlotQueue.h"
+#include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/TargetConnections.h"
 
 #include <sigc++/signal.h>
@@ -43,6 +43,7 @@
                   peer::Transport& aTransport,
                   const dialect::TargetDialect& aDialect,
                   common::Incarnation aIncarnation,
+                  std::unique_ptr<AdmissionQueue> aQueue,
                   ConfigSource aConfig);
   ~TargetForwarder();
 
@@ -94,7 +95,7 @@
   ConfigSource config_;
   AnswerSender sender_;
   TargetConnections connections_;
-  SlotQueue queue_;
+  std::unique_ptr<AdmissionQueue> queue_;
   Target target_;
   ForwardedCall::Context callContext_;
   sigc::signal<void, const std::string&> targetLost_;
