--- a/src/dandelionstand/caller/CallTypes.h
+++ b/src/dandelionstand/caller/CallTypes.h
@@ -72,7 +72,7 @@
   std::optional<Continuation> continuation_;
   //! Until the latency objective; negative once it is missed. None: the call has no objective.
   std::optional<common::Duration> objectiveLeft_;
-  bool hasOther_ = false; //!< Another endpoint will be tried if this one refuses.
+  bool hasOther_ = false;         //!< Another endpoint will be tried if this one refuses.
   std::uint32_t creditBytes_ = 0; //!< Body bytes that may be sent before the first credit.
 };
 
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -366,8 +366,9 @@
   plan.tries_ = plan.attempts_ + policy.extraTries_;
   plan.paysForRefusals_ = policy.paysForRefusals_;
   if (policy.hasObjectives_) {
-    const common::Duration age =
-      aRequest.timeLeft_ ? ages_.AgeOf(aCallRoute.name_, *aRequest.timeLeft_, now) : common::Duration(0);
+    const common::Duration age = aRequest.timeLeft_
+                                   ? ages_.AgeOf(aCallRoute.name_, *aRequest.timeLeft_, now)
+                                   : common::Duration(0);
     plan.objective_ = now + route.objective_ - age;
   }
   plan.rerunCost_ = policy.rerunCost_;
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -2,8 +2,8 @@
 #define dandelionstand_caller_CallerServer_h
 
 #include "dandelionstand/caller/ActiveCall.h"
-#include "dandelionstand/caller/KeyedOrders.h"
 #include "dandelionstand/caller/CallerAges.h"
+#include "dandelionstand/caller/KeyedOrders.h"
 #include "dandelionstand/caller/ServicePolicies.h"
 #include "dandelionstand/caller/TrafficSplit.h"
 #include "dandelionstand/common/Ids.h"
@@ -44,7 +44,7 @@
   common::Duration callerMargin_{ 0 };
   bool keepsTimeForRetry_ = true;    //!< See CallPlan.
   bool retriesServerErrors_ = false; //!< See CallPlan.
-  bool hasObjectives_ = false; //!< Whether the objectives of routes decide who waits.
+  bool hasObjectives_ = false;       //!< Whether the objectives of routes decide who waits.
   bool endsDownloadsInTime_ = false; //!< Whether a route's limit holds for whole downloads.
   std::size_t heldBytes_ = 64UL * 1024;
 };
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -27,8 +27,12 @@
 constexpr common::Duration kFlushTime = 30ms;
 //! Time for peers and callers to hear of the leaving before the addresses close.
 constexpr common::Duration kDrainAtLeast = 1s;
-//! The platform asks every second whether clients may come, and sends none after two misses.
-constexpr common::Duration kClientsLeave = 2'300ms;
+//! The platform asks every second whether clients may come, and sends none after two misses; those
+//! that are on their way get another second.
+constexpr common::Duration kClientsLeave = 3'200ms;
+//! Until then the target beside a stopping daemon goes on taking work. The longest work of the
+//! sites, 1.5 s, still ends before the daemon does.
+constexpr common::Duration kTargetServesOn = 1'500ms;
 //! Before the platform kills the process: no new requests, and the end of those in flight.
 constexpr common::Duration kLastRequestsBefore = 1'500ms;
 constexpr common::Duration kEndBefore = 300ms;
@@ -423,10 +427,9 @@
   isDraining_ = true;
   drainingSince_ = common::Now();
   common::LogEvent(common::Severity::kInfo, "draining", { { "in_flight", InFlight() } });
-  membership_.Leave();
-  forwarder_.StartDrain();
   common::Duration limit = settings_.drainLimit_;
   if (settings_.platform_) {
+    targetDrain_ = loop_.After(kTargetServesOn, [this] { DrainTarget(); });
     // Clients go on coming until the platform has noticed; they are served meanwhile.
     const common::Duration stop = settings_.platform_->bounds_.stopTime_;
     callerServer_.CloseConnections();
@@ -434,6 +437,7 @@
                                 [this] { callerServer_.StartDrain(); });
     limit = stop - std::min(stop, kEndBefore);
   } else {
+    DrainTarget();
     callerServer_.StartDrain();
   }
   drainCheck_ = loop_.Every(kDrainCheckInterval, [this] { CheckDrained(); });
@@ -441,6 +445,12 @@
     loop_.After(limit, [this] { Finish(InFlight() == 0 ? ExitStatus::kOk : ExitStatus::kCut); });
 }
 
+void Daemon::DrainTarget()
+{
+  membership_.Leave();
+  forwarder_.StartDrain();
+}
+
 void Daemon::CheckDrained()
 {
   const common::Duration atLeast = settings_.platform_ ? kClientsLeave : kDrainAtLeast;
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -56,6 +56,7 @@
   void Reload(const char* aCause);
   void CheckSettingsFile();
   void OnTerminate();
+  void DrainTarget();
   void CheckDrained();
   void Finish(ExitStatus aStatus);
   void SetUpAdmin();
@@ -89,6 +90,7 @@
   std::unique_ptr<common::Watch> settingsCheck_;
   std::unique_ptr<common::Watch> logFlush_;
   std::unique_ptr<common::Watch> lastRequests_;
+  std::unique_ptr<common::Watch> targetDrain_;
   std::unique_ptr<common::Watch> terminate_;
   std::unique_ptr<common::Watch> interrupt_;
   std::unique_ptr<common::Watch> drainCheck_;
--- a/src/dandelionstand/target/ServiceTime.h
+++ b/src/dandelionstand/target/ServiceTime.h
@@ -13,6 +13,8 @@
 
   //! 0 before the first sample.
   common::Duration Mean() const { return mean_; }
+  //! Mean plus the mean deviation: what about three requests in four stay below.
+  common::Duration Likely() const { return mean_ + deviation_; }
   //! Mean plus twice the mean deviation: what most requests stay below.
   common::Duration Upper() const { return mean_ + 2 * deviation_; }
 
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -4,9 +4,9 @@
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/config/ConfigState.h"
 #include "dandelionstand/peer/Transport.h"
+#include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/AnswerSender.h"
 #include "dandelionstand/target/ForwardedCall.h"
-#include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/TargetConnections.h"
 
 #include <sigc++/signal.h>
--- a/src/dandelionstand/target/UrgencyQueue.cpp
+++ b/src/dandelionstand/target/UrgencyQueue.cpp
@@ -9,8 +9,8 @@
 
 //! Weight of the newest start in the share of late ones.
 constexpr double kLateWeight = 0.05;
-//! Least share that late work is taken to get, so that a wait can be worked out.
-constexpr double kLeastLateShare = 0.02;
+//! Below this share of the starts no late work is taken: it would wait for nothing.
+constexpr double kLeastLateShare = 0.1;
 
 } // namespace
 
@@ -119,13 +119,15 @@
 
 bool UrgencyQueue::IsInTime(const Work& aWork, common::TimePoint aStart) const
 {
-  return aWork.objective_ == common::TimePoint::max() ||
-         aStart + TimeOf(aWork.route_) <= aWork.objective_;
+  if (aWork.objective_ == common::TimePoint::max()) {
+    return true;
+  }
+  const auto found = times_.find(aWork.route_);
+  const ServiceTime& time = found == times_.end() ? anyTime_ : found->second;
+  return aStart + time.Likely() <= aWork.objective_;
 }
 
-bool UrgencyQueue::GoesBefore(const Work& aLeft,
-                              const Work& aRight,
-                              common::TimePoint aNow) const
+bool UrgencyQueue::GoesBefore(const Work& aLeft, const Work& aRight, common::TimePoint aNow) const
 {
   const bool isLeftInTime = IsInTime(aLeft, aNow);
   if (isLeftInTime != IsInTime(aRight, aNow)) {
@@ -154,13 +156,14 @@
 
 bool UrgencyQueue::HasRoomForLate(const Work& aWork, common::TimePoint aNow) const
 {
-  const auto late = std::count_if(waiting_.begin(), waiting_.end(), [&](const Work& aOther) {
-    return !IsInTime(aOther, aNow);
-  });
+  const auto late = std::count_if(
+    waiting_.begin(), waiting_.end(), [&](const Work& aOther) { return !IsInTime(aOther, aNow); });
   // Late work gets only what nothing in time wants.
-  const double share = std::max(lateShare_, kLeastLateShare);
+  if (lateShare_ < kLeastLateShare) {
+    return false;
+  }
   const auto wait = common::Duration(static_cast<common::Duration::rep>(
-    static_cast<double>((anyTime_.Mean() * (late + 1) / slots_).count()) / share));
+    static_cast<double>((anyTime_.Mean() * (late + 1) / slots_).count()) / lateShare_));
   return aNow + wait + TimeOf(aWork.route_) <= aWork.deadline_;
 }
 
@@ -181,8 +184,8 @@
 void UrgencyQueue::StartWaiting(common::TimePoint aNow, SlotActions& aActions)
 {
   while (isReady_ && running_.size() < slots_ && !waiting_.empty()) {
-    const auto best =
-      std::min_element(waiting_.begin(), waiting_.end(), [&](const Work& aLeft, const Work& aRight) {
+    const auto best = std::min_element(
+      waiting_.begin(), waiting_.end(), [&](const Work& aLeft, const Work& aRight) {
         return GoesBefore(aLeft, aRight, aNow);
       });
     const Work work = *best;
@@ -193,8 +196,10 @@
 
 void UrgencyQueue::ShedHopeless(common::TimePoint aNow, SlotActions& aActions)
 {
+  const bool isLateStarved = lateShare_ < kLeastLateShare;
   std::erase_if(waiting_, [&](const Work& aWork) {
-    const bool isHopeless = aNow + TimeOf(aWork.route_) > aWork.deadline_;
+    const bool isHopeless =
+      aNow + TimeOf(aWork.route_) > aWork.deadline_ || (isLateStarved && !IsInTime(aWork, aNow));
     if (isHopeless) {
       aActions.push_back(RefuseWork{ aWork.key_, RefuseReason::kHopeless });
     }
