--- a/tests/common/LogBudgetTests.cpp
+++ b/tests/common/LogBudgetTests.cpp
@@ -42,6 +42,6 @@
   for (TimePoint now = kStart; now < kStart + 100s; now += 10ms) {
     written += budget.Admit(Severity::kInfo, kLine, now) ? kLine : 0;
   }
-  CHECK(written <= 100 * 1000 + 10'000);
-  CHECK(written >= 100 * 1000);
+  CHECK(written <= 110'000);
+  CHECK(written >= 100'000);
 }
--- a/tests/http/ClientConnectionTests.cpp
+++ b/tests/http/ClientConnectionTests.cpp
@@ -148,7 +148,9 @@
 
 TEST_CASE("An answer before the body was sent whole ends the connection", "[http][client]")
 {
-  const Outcome outcome = Bench().Ask(kWhole, End::kKeepOpen, std::string(20'000'000, 'x'));
+  std::string body;
+  body.resize(20'000'000, 'x');
+  const Outcome outcome = Bench().Ask(kWhole, End::kKeepOpen, body);
   CHECK(outcome.isWhole_);
   CHECK_FALSE(outcome.isReusable_);
 }
--- a/tests/http/HeadCheckTests.cpp
+++ b/tests/http/HeadCheckTests.cpp
@@ -41,8 +41,7 @@
     "X-Folded: one\r\n\ttwo\r\n",
     "No colon\r\n",
     ": no name\r\n",
-    "X-Control: a\x01"
-    "b\r\n",
+    "X-Control: a\x01 b\r\n",
     "X-Bare: a\rb\r\n",
     "X-Bare: a\nInjected: b\r\n",
     "Host: b.example\r\n",
--- a/tests/platform/HttpLogTests.cpp
+++ b/tests/platform/HttpLogTests.cpp
@@ -141,8 +141,10 @@
   CHECK(bench.client_.Read(1).next_ == Offset(1));
 
   // Another program may append what this client does not.
+  std::string record;
+  record.resize(10'000'000, 'x');
   std::string tooLong;
-  AppendFrame(std::string(10'000'000, 'x'), tooLong);
+  AppendFrame(record, tooLong);
   platform::HttpClient other(bench.loop_, { .address_ = bench.service_.ListeningAddress() });
   other.Send({ .method_ = HttpMethod::kPost,
                .target_ = "/dandelionstand/log-append?topic=config&part=0",
