--- a/tests/integration/ConfigurationFixture.cpp
+++ b/tests/integration/ConfigurationFixture.cpp
@@ -20,18 +20,8 @@
 
 constexpr std::chrono::milliseconds kSampleInterval = 20ms;
 constexpr std::chrono::milliseconds kAppendTimeout = 1s;
-constexpr std::size_t kFrameBytes = 12; //!< Offset (8 bytes) and length (4 bytes).
 constexpr int kStatusOk = 200;
 
-std::uint64_t BigEndian(const std::string& aBytes)
-{
-  std::uint64_t value = 0;
-  for (const char byte : aBytes) {
-    value = value << 8U | static_cast<unsigned char>(byte);
-  }
-  return value;
-}
-
 } // namespace
 
 FleetOptions ConfigurationFleet(std::size_t aPerDomain, const std::string& aProfile)
