Report versions to collectors that become known later

Cause of the README's main command failing ('dandelionctl ended with 6'): a daemon reported its version once to the collectors it knew then; while a fleet starts, better-ranked ones become known later and counted it at version 0 for 15 s. It now reports when its collectors change, and a member counts with the version it was heard to have.

--- a/src/dandelionstand/peer/Convergence.cpp
+++ b/src/dandelionstand/peer/Convergence.cpp
@@ -30,14 +30,22 @@
 
 ConvergenceActions Convergence::Tick(common::Version aVersion, common::TimePoint aNow)
 {
-  if (aVersion == version_ && aNow < nextReport_) {
+  const Members collectors = CollectorsOf(members_, self_.failureDomain_);
+  // While a fleet starts, better-ranked members become known after the first report.
+  std::vector<std::pair<common::InstanceId, common::Incarnation>> collectorIds;
+  collectorIds.reserve(collectors.size());
+  for (const Member& collector : collectors) {
+    collectorIds.emplace_back(collector.instance_, collector.incarnation_);
+  }
+  if (aVersion == version_ && collectorIds == reportedTo_ && aNow < nextReport_) {
     return {};
   }
+  reportedTo_ = std::move(collectorIds);
   version_ = aVersion;
   nextReport_ = aNow + kRepeat;
   reported_[self_.instance_] = aVersion;
   ConvergenceActions actions;
-  for (const Member& collector : CollectorsOf(members_, self_.failureDomain_)) {
+  for (const Member& collector : collectors) {
     if (collector.instance_ != self_.instance_) {
       wire::ConvergenceMessage report;
       report.set_kind(wire::REPORT);
@@ -122,8 +130,8 @@
   for (const Member& member : RankedInDomain(members_, self_.failureDomain_)) {
     const auto reported = reported_.find(member.instance_);
     // A report may come from an earlier incarnation; the daemon itself never goes back.
-    const common::Version version =
-      reported == reported_.end() ? common::Version() : reported->second;
+    const common::Version version = std::max(
+      member.configVersion_, reported == reported_.end() ? common::Version() : reported->second);
     versions.emplace_back(member.instance_, version);
     highest = std::max(highest, version);
   }
--- a/src/dandelionstand/peer/Convergence.h
+++ b/src/dandelionstand/peer/Convergence.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dandelionstand::peer {
@@ -57,6 +58,8 @@
   Members members_;
   common::Version version_;
   common::TimePoint nextReport_;
+  //! The collectors that got the last report.
+  std::vector<std::pair<common::InstanceId, common::Incarnation>> reportedTo_;
   std::map<common::InstanceId, common::Version> reported_;
   std::map<common::FailureDomain, DomainVersions> summaries_;
 };
