Serve what comes while a daemon stops, one request a connection

Cause: libevent reports an empty output buffer as soon as writing is enabled, and a connection that was taken during a stop was idle at that moment, so it was closed before its request was read; idle connections were closed at the signal and crossed requests on their way. Ruled out: a closed listener (the port stayed open) and the grace time (no process was killed).

Now idle connections stay open for one more request, and DrainAdmission takes every request of the first 2.9 s, later ones only if their deadline lies before the end of the process.

--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -249,10 +249,6 @@
     aExchange.Refuse(NotRun(kBadRequest, aRequest.isValid_ ? "too-deep" : "bad-header"));
     return;
   }
-  if (isDraining_) {
-    aExchange.Refuse(NotRun(kUnavailable, "daemon-draining"));
-    return;
-  }
   const config::ConfigStatePtr config = config_();
   if (!config) {
     aExchange.Refuse(NotRun(kUnavailable, "no-configuration"));
@@ -275,6 +271,10 @@
 void CallerServer::Submit(Exchange& aExchange, CallerRequest aRequest, CallRoute aRoute)
 {
   const CallPlan plan = MakePlan(aRequest, aRoute);
+  if (!drain_.Takes(plan.headDeadline_, common::Now())) {
+    aExchange.Refuse(NotRun(kUnavailable, "daemon-draining"));
+    return;
+  }
   const bool isKeyed =
     aRoute.route_.idempotency_ == config::Idempotency::kKeyed && !aRequest.idempotencyKey_.empty();
   if (!isKeyed) {
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -3,6 +3,7 @@
 
 #include "dandelionstand/caller/ActiveCall.h"
 #include "dandelionstand/caller/CallerAges.h"
+#include "dandelionstand/caller/DrainAdmission.h"
 #include "dandelionstand/caller/KeyedOrders.h"
 #include "dandelionstand/caller/ServicePolicies.h"
 #include "dandelionstand/caller/TrafficSplit.h"
@@ -82,9 +83,11 @@
   ~CallerServer();
 
   const common::Address& BoundAddress() const { return server_.BoundAddress(); }
-  //! Refuses new requests as not run; those in flight go on.
-  void StartDrain() { isDraining_ = true; }
-  //! Connections end with the answers that are due.
+  //! Takes what DrainAdmission allows and refuses the rest as not run; what is in flight goes on.
+  void StartDrain(const DrainTimes& aTimes) { drain_.Start(aTimes, common::Now()); }
+  //! Refuses every new request as not run.
+  void StopTaking() { drain_.Stop(); }
+  //! Each connection ends with its next answer.
   void CloseConnections() { server_.StartClosing(); }
   std::size_t Connections() const { return server_.Connections(); }
   //! The retry budgets of all services; see RetryBudget.
@@ -134,7 +137,7 @@
   std::unique_ptr<common::Watch> reaper_;
   std::uint64_t lastRequestId_ = 0;
   std::uint64_t bodyBytes_ = 0;
-  bool isDraining_ = false;
+  DrainAdmission drain_;
 };
 
 } // namespace dandelionstand::caller
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -33,8 +33,10 @@
 //! Until then the target beside a stopping daemon goes on taking work. The longest work of the
 //! sites, 1.5 s, still ends before the daemon does.
 constexpr common::Duration kTargetServesOn = 1'500ms;
-//! Before the platform kills the process: no new requests, and the end of those in flight.
-constexpr common::Duration kLastRequestsBefore = 1'500ms;
+//! Every request that comes within this time of the signal is taken. The platform counts requests
+//! of the first 3 s as sent by clients that cannot know of the stop yet.
+constexpr common::Duration kTakesAll = 2'900ms;
+//! The process ends so long before the platform kills it.
 constexpr common::Duration kEndBefore = 300ms;
 //! A daemon without peers by then is alone, and serves what its own target can.
 constexpr common::Duration kLoneStart = 2s;
@@ -435,13 +437,12 @@
     targetDrain_ = loop_.After(kTargetServesOn, [this] { DrainTarget(); });
     // Clients go on coming until the platform has noticed; they are served meanwhile.
     const common::Duration stop = settings_.platform_->bounds_.stopTime_;
-    callerServer_.CloseConnections();
-    lastRequests_ = loop_.After(stop - std::min(stop, kLastRequestsBefore),
-                                [this] { callerServer_.StartDrain(); });
     limit = stop - std::min(stop, kEndBefore);
+    callerServer_.CloseConnections();
+    callerServer_.StartDrain({ .takesAll_ = std::min(kTakesAll, limit / 2), .end_ = limit });
   } else {
     DrainTarget();
-    callerServer_.StartDrain();
+    callerServer_.StopTaking();
   }
   drainCheck_ = loop_.Every(kDrainCheckInterval, [this] { CheckDrained(); });
   drainLimit_ =
@@ -471,6 +472,7 @@
                    { { "cut", isCut ? InFlight() : 0 } });
   drainCheck_.reset();
   drainLimit_.reset();
+  callerServer_.StopTaking();
   membership_.Stop();
   // What was sent last must leave the process.
   flush_ = loop_.After(kFlushTime, [this] { loop_.Stop(); });
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -89,7 +89,6 @@
   std::unique_ptr<common::Watch> hangUp_;
   std::unique_ptr<common::Watch> settingsCheck_;
   std::unique_ptr<common::Watch> logFlush_;
-  std::unique_ptr<common::Watch> lastRequests_;
   std::unique_ptr<common::Watch> targetDrain_;
   std::unique_ptr<common::Watch> terminate_;
   std::unique_ptr<common::Watch> interrupt_;
--- a/src/dandelionstand/http/Server.cpp
+++ b/src/dandelionstand/http/Server.cpp
@@ -71,13 +71,8 @@
 void Server::StartClosing()
 {
   isClosing_ = true;
-  std::vector<ServerConnection*> connections;
-  connections.reserve(connections_.size());
   for (const auto& entry : connections_) {
-    connections.push_back(entry.first);
-  }
-  for (ServerConnection* connection : connections) {
-    connection->StartClosing();
+    entry.second->CloseAfterNext();
   }
 }
 
--- a/src/dandelionstand/http/ServerConnection.cpp
+++ b/src/dandelionstand/http/ServerConnection.cpp
@@ -57,12 +57,6 @@
   }
 }
 
-void ServerConnection::StartClosing()
-{
-  isClosing_ = true;
-  CheckEnd();
-}
-
 void ServerConnection::OnReadable(bufferevent*, void* aSelf)
 {
   static_cast<ServerConnection*>(aSelf)->ReadRequests();
@@ -255,12 +249,8 @@
   if (isClosed_ || evbuffer_get_length(bufferevent_get_output(stream_)) > 0) {
     return;
   }
-  const bool isIdle = exchanges_.empty() && reader_.Now() == RequestReader::State::kIdle &&
-                      evbuffer_get_length(bufferevent_get_input(stream_)) == 0;
   if (isLast_) {
     Linger();
-  } else if (isClosing_ && isIdle) {
-    Close(false);
   }
 }
 
--- a/src/dandelionstand/http/ServerConnection.h
+++ b/src/dandelionstand/http/ServerConnection.h
@@ -44,9 +44,8 @@
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
-  //! Responses from now on end the connection; an idle one is closed at once.
-  void StartClosing();
-  //! For a connection that is taken while the server closes: its first response ends it.
+  //! The next response ends the connection. An idle one stays open for it: closing it could cross
+  //! a request that is on its way.
   void CloseAfterNext() { isClosing_ = true; }
   bool IsClosing() const { return isClosing_; }
   std::size_t Open() const { return exchanges_.size(); }
--- a/tests/http/ServerTests.cpp
+++ b/tests/http/ServerTests.cpp
@@ -7,6 +7,7 @@
 #include <future>
 #include <list>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace dandelionstand;
@@ -238,3 +239,37 @@
   REQUIRE(received.has_value());
   CHECK(*received == AnswerTo("/a", "Connection: close\r\n"));
 }
+
+TEST_CASE("A server that closes serves what comes, one request a connection", "[http][server]")
+{
+  Bench bench;
+  bench.onRequest_ = [&](const std::string& aTarget) {
+    bench.Answer(aTarget);
+    if (aTarget == "/first") {
+      bench.loop_.Post([&] { bench.server_.StartClosing(); });
+    }
+  };
+  std::string expected;
+  SECTION("on a connection that is opened meanwhile")
+  {
+    bench.server_.StartClosing();
+  }
+  SECTION("on a connection that was idle")
+  {
+    expected = AnswerTo("/first");
+  }
+  const std::string first = expected;
+  expected += AnswerTo("/a", "Connection: close\r\n");
+  const auto received = bench.Run([&](const common::Address& aAddress) {
+    TcpStream stream(aAddress, "");
+    std::string answer;
+    if (!first.empty()) {
+      stream.Send(Get("/first"));
+      answer = stream.Receive(first.size(), 5s);
+    }
+    std::this_thread::sleep_for(100ms); // The server sees the connection without a request.
+    stream.Send(Get("/a"));
+    return answer + stream.ReceiveToEnd(5s).value_or("the connection does not end");
+  });
+  CHECK(received == expected);
+}
--- a/tests/integration/PlatformSiteTests.cpp
+++ b/tests/integration/PlatformSiteTests.cpp
@@ -188,6 +188,22 @@
   CHECK(*exit == ExitResult{});
 }
 
+TEST_CASE("A stopping daemon serves clients that have not noticed yet", "[integration][site]")
+{
+  PlatformSite site;
+  REQUIRE(site.WaitUntilServing());
+  site[0].daemon_->Terminate();
+  REQUIRE(WaitUntil([&] { return !site[0].IsReady(); }, 1s));
+  for (int request = 0; request < 10; ++request) {
+    const std::string id = "late-" + std::to_string(request);
+    CHECK(Ask(site[0], id, request % 2 == 0 ? "GET" : "POST", 1'500).status_ == 200);
+    CHECK(RunsOf(site, id) == 1);
+  }
+  const auto exit = site[0].daemon_->Wait(6s);
+  REQUIRE(exit.has_value());
+  CHECK(*exit == ExitResult{});
+}
+
 TEST_CASE("Changed settings are read again without losing a request", "[integration][site]")
 {
   PlatformSite site;
