Place requests by measured time, distance and failures

Now the target side reports its usual time for the route on each answer, and EndpointPicker weighs it with load, failures and distance, in which bytes across borders count. Cut-short work no longer teaches the queue short times.

Tests: caller "[picker][replay]": unequal speeds, unknown endpoints, failing ones, large answers.

--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -26,6 +26,7 @@
 
 constexpr const char* kTimedOut = "timeout";
 constexpr const char* kTargetTimedOut = "target-timeout";
+constexpr const char* kTargetShed = "target-shed";
 constexpr const char* kBrokenAnswer = "broken-answer";
 
 //! Refusals that come without load: the endpoint is on its way out or has been replaced.
@@ -38,7 +39,15 @@
 //! Whether the endpoint itself got the request, as far as the failure tells.
 bool HasReachedEndpoint(const AttemptFailed& aFailed)
 {
-  return aFailed.runState_ != RunState::kNotRun || aFailed.reason_ == "target-shed";
+  return aFailed.runState_ != RunState::kNotRun || aFailed.reason_ == kTargetShed;
+}
+
+AttemptResult ResultOf(const AttemptFailed& aFailed)
+{
+  if (aFailed.runState_ != RunState::kNotRun) {
+    return AttemptResult::kFailed;
+  }
+  return aFailed.reason_ == kTargetShed ? AttemptResult::kShed : AttemptResult::kRefused;
 }
 
 common::Duration WithoutMargin(common::Duration aTimeLeft)
@@ -124,13 +133,17 @@
   if (!IsCurrent(aAttempt)) {
     return actions;
   }
-  picker_.Reported(endpoint_.instance_, aEnd.load_, aNow);
+  picker_.Reported(endpoint_.instance_, plan_.route_, aEnd.load_, aNow);
   if (!head_ || !check_->IsWhole(aEnd) || skip_ > 0) {
     EndAttempt(AttemptResult::kFailed, aNow);
     AttemptBroke({ kBrokenAnswer, head_ ? RunState::kRun : RunState::kUnknown }, aNow, actions);
     return actions;
   }
-  EndAttempt(AttemptResult::kAnswered, aNow);
+  const bool isError = head_->status_ >= kFirstServerError;
+  EndAttempt(isError ? AttemptResult::kErrored : AttemptResult::kAnswered, aNow);
+  if (!isError) {
+    picker_.AnswerSize(plan_.route_, aEnd.length_);
+  }
   const AttemptFailed shed{ "target-unavailable", RunState::kRun };
   if (!headSent_ && IsRetriedStatus(*head_) && MayRetry(shed, aNow)) {
     mayHaveRun_ = RunState::kRun;
@@ -151,10 +164,9 @@
   if (!IsCurrent(aAttempt)) {
     return actions;
   }
-  picker_.Reported(endpoint_.instance_, aFailed.load_, aNow);
+  picker_.Reported(endpoint_.instance_, plan_.route_, aFailed.load_, aNow);
   // A target side that answers is alive; only what broke after the start counts against it.
-  const bool isRefusal = aFailed.runState_ == RunState::kNotRun;
-  EndAttempt(isRefusal ? AttemptResult::kRefused : AttemptResult::kFailed, aNow);
+  EndAttempt(ResultOf(aFailed), aNow);
   AttemptBroke(aFailed, aNow, actions);
   return actions;
 }
@@ -248,11 +260,11 @@
   check_.reset();
   held_.clear();
   skip_ = 0;
-  auto picked = picker_.Pick(tried_, aNow);
+  auto picked = picker_.Pick(tried_, plan_.route_, aNow);
   if (!picked && headSent_) {
     // A continuation may go back to an endpoint that broke off before.
     tried_.clear();
-    picked = picker_.Pick(tried_, aNow);
+    picked = picker_.Pick(tried_, plan_.route_, aNow);
   }
   if (!picked) {
     GiveUp({ "no-endpoint", headSent_ ? RunState::kRun : RunState::kNotRun }, aActions);
--- a/src/dandelionstand/caller/CallTypes.h
+++ b/src/dandelionstand/caller/CallTypes.h
@@ -25,6 +25,7 @@
 //! What is known of a call when it begins.
 struct CallPlan
 {
+  config::RouteName route_;
   config::Idempotency idempotency_ = config::Idempotency::kOnce;
   //! Time for the head of the answer.
   common::TimePoint headDeadline_;
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -354,6 +354,7 @@
   const bool hasRange = !FindHeader(aRequest.headers_, "Range").empty();
   const CallPolicy& policy = settings_.policy_;
   CallPlan plan;
+  plan.route_ = aCallRoute.name_;
   plan.idempotency_ = route.idempotency_;
   plan.headDeadline_ = now + route.timeout_;
   if (aRequest.timeLeft_) {
--- a/src/dandelionstand/caller/EndpointPicker.cpp
+++ b/src/dandelionstand/caller/EndpointPicker.cpp
@@ -1,7 +1,7 @@
 #include "dandelionstand/caller/EndpointPicker.h"
 
 #include <algorithm>
-#include <array>
+#include <iterator>
 
 namespace dandelionstand::caller {
 
@@ -19,6 +19,22 @@
 constexpr double kFirstRamp = 0.1;
 constexpr std::uint32_t kMostDoublings = 5;
 
+constexpr double kBytesInKilobyte = 1024;
+//! Weight of the newest answer in the usual size of a route's answers.
+constexpr double kSizeWeight = 0.1;
+//! Time of an endpoint of which nothing is known, as a part of the least that is known.
+constexpr double kUnknownTime = 0.5;
+//! A target that is full takes half as long again: some slow down, and work may have to wait.
+constexpr double kLoadWeight = 0.5;
+//! Endpoints whose cost is within this factor of the least one's count as alike.
+constexpr double kAlike = 1.1;
+
+common::Duration Scale(common::Duration aDuration, double aFactor)
+{
+  return common::Duration(
+    static_cast<common::Duration::rep>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
 bool Contains(const std::vector<common::InstanceId>& aInstances, const common::InstanceId& aWanted)
 {
   return std::find(aInstances.begin(), aInstances.end(), aWanted) != aInstances.end();
@@ -52,28 +68,21 @@
 }
 
 std::optional<Endpoint> EndpointPicker::Pick(const std::vector<common::InstanceId>& aTried,
+                                             const config::RouteName& aRoute,
                                              common::TimePoint aNow)
 {
-  std::array<std::vector<const Entry*>, kTierCount> tiers;
-  for (const Entry* entry : Candidates(aTried, aNow)) {
-    tiers.at(TierOf(entry->endpoint_)).push_back(entry);
-  }
-  const Entry* fallback = nullptr;
-  for (const auto& tier : tiers) {
-    if (tier.empty()) {
-      continue;
-    }
-    const Entry* best = BestOfTwo(tier, aNow);
-    if (Load(*best, aNow) < settings_.spillAt_) {
-      return best->endpoint_;
-    }
-    // When every tier is saturated, the nearest one queues.
-    fallback = fallback == nullptr ? best : fallback;
-  }
-  if (fallback == nullptr) {
+  const std::vector<const Entry*> candidates = Candidates(aTried, aNow);
+  if (candidates.empty()) {
     return std::nullopt;
   }
-  return fallback->endpoint_;
+  std::vector<const Entry*> free;
+  std::copy_if(candidates.begin(),
+               candidates.end(),
+               std::back_inserter(free),
+               [&](const Entry* aEntry) { return Load(*aEntry, aNow) < settings_.spillAt_; });
+  const std::vector<const Entry*> best =
+    free.empty() ? Nearest(candidates) : Cheapest(free, aRoute, aNow);
+  return BestOfTwo(best, aNow)->endpoint_;
 }
 
 bool EndpointPicker::HasOther(const std::vector<common::InstanceId>& aTried) const
@@ -104,7 +113,17 @@
   }
 }
 
+void EndpointPicker::AnswerSize(const config::RouteName& aRoute, std::uint64_t aBytes)
+{
+  const double kilobytes = static_cast<double>(aBytes) / kBytesInKilobyte;
+  const auto [entry, isNew] = answerKilobytes_.try_emplace(aRoute, kilobytes);
+  if (!isNew) {
+    entry->second += kSizeWeight * (kilobytes - entry->second);
+  }
+}
+
 void EndpointPicker::Reported(const common::InstanceId& aInstance,
+                              const config::RouteName& aRoute,
                               ReportedLoad aLoad,
                               common::TimePoint aNow)
 {
@@ -116,6 +135,9 @@
   entry.load_ = aLoad;
   entry.loadAt_ = aNow;
   entry.outstandingAtReport_ = entry.outstanding_;
+  if (aLoad.workTime_.count() > 0) {
+    entry.times_.NoteTime(aRoute, aLoad.workTime_, aNow);
+  }
 }
 
 void EndpointPicker::Ended(const common::InstanceId& aInstance,
@@ -130,6 +152,7 @@
   entry.outstanding_ -= entry.outstanding_ > 0 ? 1 : 0;
   switch (aResult) {
     case AttemptResult::kAnswered:
+      entry.times_.NoteOutcome(false, aNow);
       entry.failures_ = 0;
       entry.ejections_ = 0;
       entry.lastHeard_ = aNow;
@@ -138,9 +161,16 @@
       entry.failures_ = 0;
       entry.lastHeard_ = aNow;
       return;
+    case AttemptResult::kErrored:
+    case AttemptResult::kShed:
+      entry.times_.NoteOutcome(true, aNow);
+      entry.failures_ = 0;
+      entry.lastHeard_ = aNow;
+      return;
     case AttemptResult::kDropped:
       return;
     case AttemptResult::kFailed:
+      entry.times_.NoteOutcome(true, aNow);
       ++entry.failures_;
       if (entry.failures_ >= settings_.ejectAfterFailures_ && MayEject(aNow)) {
         Eject(entry, aNow);
@@ -171,6 +201,24 @@
   return aEndpoint.region_ == settings_.region_ ? kOwnRegion : kOtherRegions;
 }
 
+std::vector<const EndpointPicker::Entry*> EndpointPicker::Nearest(
+  const std::vector<const Entry*>& aEntries) const
+{
+  std::vector<const Entry*> nearest;
+  int nearestTier = kTierCount;
+  for (const Entry* entry : aEntries) {
+    const int tier = TierOf(entry->endpoint_);
+    if (tier < nearestTier) {
+      nearest.clear();
+      nearestTier = tier;
+    }
+    if (tier == nearestTier) {
+      nearest.push_back(entry);
+    }
+  }
+  return nearest;
+}
+
 double EndpointPicker::Load(const Entry& aEntry, common::TimePoint aNow) const
 {
   const std::uint32_t slots = aEntry.load_.slots_ > 0 ? aEntry.load_.slots_ : settings_.slots_;
@@ -184,6 +232,62 @@
   return static_cast<double>(work) / (std::max(1U, slots) * Ramp(aEntry, aNow));
 }
 
+common::Duration EndpointPicker::DistanceOf(const Entry& aEntry,
+                                            const config::RouteName& aRoute) const
+{
+  const int tier = TierOf(aEntry.endpoint_);
+  if (tier == kOwnDomain) {
+    return {};
+  }
+  const auto size = answerKilobytes_.find(aRoute);
+  const Distances& distances = settings_.distances_;
+  const double kilobytes =
+    distances.overheadKilobytes_ + (size == answerKilobytes_.end() ? 0.0 : size->second);
+  const bool isNear = tier == kOwnRegion;
+  return (isNear ? distances.domainTrip_ : distances.regionTrip_) +
+         Scale(isNear ? distances.domainKilobyte_ : distances.regionKilobyte_, kilobytes);
+}
+
+common::Duration EndpointPicker::CostOf(const Entry& aEntry,
+                                        const config::RouteName& aRoute,
+                                        common::Duration aLeastTime,
+                                        common::TimePoint aNow) const
+{
+  // An unknown endpoint is assumed to be fast, but only until one request is on its way there.
+  const common::Duration assumed = Scale(aLeastTime, kUnknownTime + aEntry.outstanding_);
+  const common::Duration time = aEntry.times_.TimeOf(aRoute, aNow).value_or(assumed);
+  const double load = Load(aEntry, aNow);
+  return Scale(time, 1.0 + kLoadWeight * load * load) + DistanceOf(aEntry, aRoute) +
+         Scale(settings_.failureTime_, aEntry.times_.FailureShare(aNow));
+}
+
+std::vector<const EndpointPicker::Entry*> EndpointPicker::Cheapest(
+  const std::vector<const Entry*>& aEntries,
+  const config::RouteName& aRoute,
+  common::TimePoint aNow) const
+{
+  std::optional<common::Duration> leastTime;
+  for (const Entry* entry : aEntries) {
+    const auto time = entry->times_.TimeOf(aRoute, aNow);
+    if (time && (!leastTime || *time < *leastTime)) {
+      leastTime = time;
+    }
+  }
+  std::vector<common::Duration> costs;
+  costs.reserve(aEntries.size());
+  for (const Entry* entry : aEntries) {
+    costs.push_back(CostOf(*entry, aRoute, leastTime.value_or(common::Duration(0)), aNow));
+  }
+  const common::Duration least = *std::min_element(costs.begin(), costs.end());
+  std::vector<const Entry*> cheapest;
+  for (std::size_t i = 0; i < aEntries.size(); ++i) {
+    if (costs[i] <= Scale(least, kAlike)) {
+      cheapest.push_back(aEntries[i]);
+    }
+  }
+  return Nearest(cheapest);
+}
+
 double EndpointPicker::Ramp(const Entry& aEntry, common::TimePoint aNow) const
 {
   const common::Duration age = aNow - aEntry.since_;
--- a/src/dandelionstand/caller/EndpointPicker.h
+++ b/src/dandelionstand/caller/EndpointPicker.h
@@ -1,6 +1,7 @@
 #ifndef dandelionstand_caller_EndpointPicker_h
 #define dandelionstand_caller_EndpointPicker_h
 
+#include "dandelionstand/caller/EndpointTimes.h"
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
 #include "dandelionstand/peer/EndpointDirectory.h"
@@ -21,17 +22,36 @@
   std::uint32_t running_ = 0;
   std::uint32_t queued_ = 0;
   std::uint32_t slots_ = 0; //!< 0 if nothing was reported yet.
+  //! Usual time of the route's requests; 0 if it is not measured.
+  common::Duration workTime_{ 0 };
 };
 
 //! How an attempt ended, as far as the choice of endpoints is concerned.
 enum class AttemptResult
 {
-  kAnswered, //!< Any answer of the target, whole.
+  kAnswered, //!< An answer of the target, whole.
+  kErrored,  //!< A whole answer that says that the target failed.
+  kShed,     //!< Not run: the target itself turned it away.
   kRefused,  //!< Not run: saturated, draining or not ready; the endpoint is alive.
   kFailed,   //!< Time-out, lost link, broken answer.
   kDropped,  //!< Ended by the caller; tells nothing about the endpoint.
 };
 
+//! What distance costs, in time that a request may as well take longer at a nearer endpoint.
+struct Distances
+{
+  //! Round trips on the users' sites.
+  common::Duration domainTrip_ = std::chrono::milliseconds(2);
+  common::Duration regionTrip_ = std::chrono::milliseconds(24);
+  //! Bytes across borders are billed. At the users' prices a kilobyte costs 0.006 to 0.01 of an
+  //! answer's worth between failure domains and 0.023 to 0.04 between regions, and 1 ms of work
+  //! saves about 0.0003 of it in answers that would be late.
+  common::Duration domainKilobyte_ = std::chrono::milliseconds(25);
+  common::Duration regionKilobyte_ = std::chrono::milliseconds(100);
+  //! A request, and the heads and envelopes of both ways.
+  double overheadKilobytes_ = 0.5;
+};
+
 //! Settings of an EndpointPicker.
 struct PickerSettings
 {
@@ -50,13 +70,20 @@
   //! A reported load counts for this long.
   common::Duration loadFresh_ = std::chrono::milliseconds(500);
   std::uint32_t slots_ = 8; //!< Assumed until an endpoint reports its own.
+  Distances distances_;
+  //! Time that a certain failure is worth: an attempt elsewhere takes about that long.
+  common::Duration failureTime_ = std::chrono::milliseconds(500);
 };
 
 //! Chooses the endpoint for each attempt at one service.
 //!
-//! Two random endpoints of the nearest tier (own failure domain, own region, other regions) that is
-//! not saturated are compared by load. Endpoints that fail repeatedly or stall are left out for a
-//! while, up to a ceiling on how many.
+//! Answers the load pattern of endpoints that differ in speed, for good or for a while, and of a
+//! domain with more work than room: the nearest endpoint is not always the one that answers first.
+//! Each endpoint that is not saturated has a cost in time: its own measure of its usual time for
+//! the route, more under load and with failures, and its distance, in which billed bytes count. Of
+//! two random ones among the cheapest the less loaded is taken. One of which nothing is known is
+//! tried with one request. If all are saturated, the nearest one queues. Endpoints that fail
+//! repeatedly or stall are left out for a while, up to a ceiling on how many.
 class EndpointPicker
 {
 public:
@@ -68,6 +95,7 @@
 
   //! An endpoint that is not among aTried; nullopt if there is none.
   std::optional<Endpoint> Pick(const std::vector<common::InstanceId>& aTried,
+                               const config::RouteName& aRoute,
                                common::TimePoint aNow);
   //! Whether Pick would find an endpoint.
   bool HasOther(const std::vector<common::InstanceId>& aTried) const;
@@ -75,7 +103,12 @@
   void Started(const common::InstanceId& aInstance, common::TimePoint aNow);
   //! A message of a running attempt arrived.
   void Progressed(const common::InstanceId& aInstance, common::TimePoint aNow);
-  void Reported(const common::InstanceId& aInstance, ReportedLoad aLoad, common::TimePoint aNow);
+  void Reported(const common::InstanceId& aInstance,
+                const config::RouteName& aRoute,
+                ReportedLoad aLoad,
+                common::TimePoint aNow);
+  //! Length of a whole answer.
+  void AnswerSize(const config::RouteName& aRoute, std::uint64_t aBytes);
   void Ended(const common::InstanceId& aInstance, AttemptResult aResult, common::TimePoint aNow);
 
   std::size_t Size() const { return entries_.size(); }
@@ -97,12 +130,22 @@
     std::uint32_t failures_ = 0;  //!< In a row.
     std::uint32_t ejections_ = 0; //!< In a row.
     common::TimePoint ejectedUntil_;
+    EndpointTimes times_;
   };
 
   using EntryMap = std::map<common::InstanceId, Entry>;
 
   int TierOf(const Endpoint& aEndpoint) const;
   double Load(const Entry& aEntry, common::TimePoint aNow) const;
+  common::Duration DistanceOf(const Entry& aEntry, const config::RouteName& aRoute) const;
+  common::Duration CostOf(const Entry& aEntry,
+                          const config::RouteName& aRoute,
+                          common::Duration aLeastTime,
+                          common::TimePoint aNow) const;
+  std::vector<const Entry*> Nearest(const std::vector<const Entry*>& aEntries) const;
+  std::vector<const Entry*> Cheapest(const std::vector<const Entry*>& aEntries,
+                                     const config::RouteName& aRoute,
+                                     common::TimePoint aNow) const;
   double Ramp(const Entry& aEntry, common::TimePoint aNow) const;
   bool IsStalled(const Entry& aEntry, common::TimePoint aNow) const;
   bool IsLeftOut(const Entry& aEntry, common::TimePoint aNow) const;
@@ -115,6 +158,7 @@
   PickerSettings settings_;
   std::mt19937_64 random_;
   EntryMap entries_;
+  std::map<config::RouteName, double> answerKilobytes_; //!< Moving averages.
 };
 
 } // namespace dandelionstand::caller
--- a/src/dandelionstand/caller/WireCalls.cpp
+++ b/src/dandelionstand/caller/WireCalls.cpp
@@ -33,7 +33,9 @@
 
 ReportedLoad ToLoad(const peer::wire::Load& aLoad)
 {
-  return { aLoad.running(), aLoad.queued(), aLoad.slots() };
+  return {
+    aLoad.running(), aLoad.queued(), aLoad.slots(), std::chrono::microseconds(aLoad.work_time_us())
+  };
 }
 
 } // namespace
--- a/src/dandelionstand/target/AdmissionQueue.h
+++ b/src/dandelionstand/target/AdmissionQueue.h
@@ -26,6 +26,13 @@
   bool mayBeLate_ = true;
 };
 
+//! How running work ended, as far as its time tells how long such work takes.
+enum class WorkEnd
+{
+  kServed,
+  kCutShort, //!< It failed or was cancelled; whole, it would have taken longer.
+};
+
 enum class RefuseReason
 {
   kNotReady,  //!< The target has not announced itself, or left.
@@ -74,13 +81,15 @@
   virtual SlotActions Drain(common::TimePoint aNow) = 0;
 
   virtual SlotActions Offer(const Work& aWork, common::TimePoint aNow) = 0;
-  //! Running work ended, in whichever way; waiting work is dropped if aKey names it.
-  virtual SlotActions Finished(const AttemptKey& aKey, common::TimePoint aNow) = 0;
+  //! Running work ended; waiting work is dropped if aKey names it.
+  virtual SlotActions Finished(const AttemptKey& aKey, WorkEnd aEnd, common::TimePoint aNow) = 0;
   //! To be called a few times a second.
   virtual SlotActions Tick(common::TimePoint aNow) = 0;
 
   virtual std::size_t Running() const = 0;
   virtual std::size_t Queued() const = 0;
+  //! Usual time of the route's requests at the target; 0 if it is not measured by route.
+  virtual common::Duration TimeOf(const std::string& aRoute) const = 0;
   //! Slots that may be used at present.
   virtual std::uint32_t SlotsNow(common::TimePoint aNow) const = 0;
 };
--- a/src/dandelionstand/target/AnswerSender.cpp
+++ b/src/dandelionstand/target/AnswerSender.cpp
@@ -47,17 +47,19 @@
 
 bool AnswerSender::SendEnd(const peer::PeerRef& aTo,
                            const AttemptKey& aKey,
+                           const std::string& aRoute,
                            peer::wire::AnswerEnd aEnd)
 {
   peer::wire::Envelope envelope;
   SetKey(aEnd, aKey);
-  *aEnd.mutable_load() = load_();
+  *aEnd.mutable_load() = load_(aRoute);
   *envelope.mutable_answer_end() = std::move(aEnd);
   return transport_.Send(aTo, envelope);
 }
 
 bool AnswerSender::SendFailed(const peer::PeerRef& aTo,
                               const AttemptKey& aKey,
+                              const std::string& aRoute,
                               std::string_view aReason,
                               peer::wire::RunState aRunState,
                               bool aDeep)
@@ -68,7 +70,7 @@
   failed.set_reason(std::string(aReason));
   failed.set_run_state(aRunState);
   failed.set_deep(aDeep);
-  *failed.mutable_load() = load_();
+  *failed.mutable_load() = load_(aRoute);
   return transport_.Send(aTo, envelope);
 }
 
--- a/src/dandelionstand/target/AnswerSender.h
+++ b/src/dandelionstand/target/AnswerSender.h
@@ -18,16 +18,21 @@
 class AnswerSender
 {
 public:
-  using LoadSource = std::function<peer::wire::Load()>;
+  //! The load, with the time that requests of the route take.
+  using LoadSource = std::function<peer::wire::Load(const std::string& aRoute)>;
 
   AnswerSender(peer::Transport& aTransport, LoadSource aLoad);
 
   //! Each returns false if the link took no message; the rest of the answer is then useless.
   bool SendHead(const peer::PeerRef& aTo, const AttemptKey& aKey, peer::wire::AnswerHead aHead);
   bool SendBody(const peer::PeerRef& aTo, const AttemptKey& aKey, peer::wire::AnswerBody aBody);
-  bool SendEnd(const peer::PeerRef& aTo, const AttemptKey& aKey, peer::wire::AnswerEnd aEnd);
+  bool SendEnd(const peer::PeerRef& aTo,
+               const AttemptKey& aKey,
+               const std::string& aRoute,
+               peer::wire::AnswerEnd aEnd);
   bool SendFailed(const peer::PeerRef& aTo,
                   const AttemptKey& aKey,
+                  const std::string& aRoute,
                   std::string_view aReason,
                   peer::wire::RunState aRunState,
                   bool aDeep = false);
--- a/src/dandelionstand/target/ForwardedCall.cpp
+++ b/src/dandelionstand/target/ForwardedCall.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr int kFirstServerError = 500;
 constexpr std::size_t kFrameBytes = 64UL * 1024;
 
 //! Longest silence of a target in the middle of an answer, or without credit, before the caller's
@@ -180,21 +181,24 @@
       Fail("invalid-answer", peer::wire::UNKNOWN);
       return;
     case dialect::AnswerVerdict::kNotRun:
-      context_.sender_.SendFailed(from_, key_, "target-shed", peer::wire::NOT_RUN);
+      context_.sender_.SendFailed(from_, key_, start_.route(), "target-shed", peer::wire::NOT_RUN);
       break;
     case dialect::AnswerVerdict::kOwn: {
       peer::wire::AnswerEnd end;
       end.set_length(length_);
       end.set_checksum(XXH3_64bits_digest(hash_));
-      context_.sender_.SendEnd(from_, key_, std::move(end));
+      context_.sender_.SendEnd(from_, key_, start_.route(), std::move(end));
       break;
     }
   }
   isOver_ = true;
   // The connection still runs its own code when it reports the end of a response.
-  finishLater_ = context_.loop_.After(common::Duration(0), [this, aIsReusable] {
+  const bool isServed =
+    verdict_ == dialect::AnswerVerdict::kOwn && head_.status_ < kFirstServerError;
+  const WorkEnd end = isServed ? WorkEnd::kServed : WorkEnd::kCutShort;
+  finishLater_ = context_.loop_.After(common::Duration(0), [this, aIsReusable, end] {
     Release(aIsReusable);
-    finished_(key_);
+    finished_(key_, end);
   });
 }
 
@@ -225,7 +229,7 @@
                      { "run", peer::wire::RunState_Name(aRunState) },
                      { "version", start_.config_version() },
                      { "time_left_ms", start_.time_left_ms() } });
-  context_.sender_.SendFailed(from_, key_, aReason, aRunState);
+  context_.sender_.SendFailed(from_, key_, start_.route(), aReason, aRunState);
   FinishLater();
 }
 
@@ -274,7 +278,8 @@
 
 void ForwardedCall::FinishLater()
 {
-  finishLater_ = context_.loop_.After(common::Duration(0), [this] { finished_(key_); });
+  finishLater_ =
+    context_.loop_.After(common::Duration(0), [this] { finished_(key_, WorkEnd::kCutShort); });
 }
 
 } // namespace dandelionstand::target
--- a/src/dandelionstand/target/ForwardedCall.h
+++ b/src/dandelionstand/target/ForwardedCall.h
@@ -5,6 +5,7 @@
 #include "dandelionstand/dialect/TargetDialect.h"
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/peer/generated/call.pb.h"
+#include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/AttemptKey.h"
 #include "dandelionstand/target/TargetConnections.h"
 
@@ -26,7 +27,7 @@
 {
 public:
   //! Called once from the event loop when nothing of the call is left to do.
-  using Finished = std::function<void(const AttemptKey&)>;
+  using Finished = std::function<void(const AttemptKey&, WorkEnd)>;
   //! Called if the target cannot be reached, or another one has its address.
   using Lost = std::function<void(const std::string& aReason)>;
 
--- a/src/dandelionstand/target/ServiceTime.cpp
+++ b/src/dandelionstand/target/ServiceTime.cpp
@@ -22,4 +22,11 @@
   deviation_ += (std::chrono::abs(error) - deviation_) / kDeviationDivisor;
 }
 
+void ServiceTime::AddEnd(common::Duration aTime, bool aIsWhole)
+{
+  if (aIsWhole || aTime > mean_) {
+    Add(aTime);
+  }
+}
+
 } // namespace dandelionstand::target
--- a/src/dandelionstand/target/ServiceTime.h
+++ b/src/dandelionstand/target/ServiceTime.h
@@ -10,6 +10,9 @@
 {
 public:
   void Add(common::Duration aSample);
+  //! Adds the time of work that ended. Work that was cut short tells only how long it takes at
+  //! least, so it counts if that is more than was known.
+  void AddEnd(common::Duration aTime, bool aIsWhole);
 
   //! 0 before the first sample.
   common::Duration Mean() const { return mean_; }
--- a/src/dandelionstand/target/SlotQueue.cpp
+++ b/src/dandelionstand/target/SlotQueue.cpp
@@ -105,7 +105,7 @@
   return actions;
 }
 
-SlotActions SlotQueue::Finished(const AttemptKey& aKey, common::TimePoint aNow)
+SlotActions SlotQueue::Finished(const AttemptKey& aKey, WorkEnd aEnd, common::TimePoint aNow)
 {
   SlotActions actions;
   const auto found = running_.find(aKey);
@@ -114,7 +114,7 @@
     return actions;
   }
   ClassQueue& queue = Class(found->second.trafficClass_);
-  queue.serviceTime_.Add(aNow - found->second.since_);
+  queue.serviceTime_.AddEnd(aNow - found->second.since_, aEnd == WorkEnd::kServed);
   --queue.running_;
   running_.erase(found);
   ShedHopeless(aNow, actions);
--- a/src/dandelionstand/target/SlotQueue.h
+++ b/src/dandelionstand/target/SlotQueue.h
@@ -44,8 +44,7 @@
   SlotActions Drain(common::TimePoint aNow) override;
 
   SlotActions Offer(const Work& aWork, common::TimePoint aNow) override;
-  //! Running work ended, in whichever way; waiting work is dropped if aKey names it.
-  SlotActions Finished(const AttemptKey& aKey, common::TimePoint aNow) override;
+  SlotActions Finished(const AttemptKey& aKey, WorkEnd aEnd, common::TimePoint aNow) override;
   //! Removes waiting work without an action. False if aKey is not waiting.
   bool Cancel(const AttemptKey& aKey);
   //! Sheds what became hopeless and lets the cold-start ramp go on; called a few times a second.
@@ -53,6 +52,7 @@
 
   std::size_t Running() const override { return running_.size(); }
   std::size_t Queued() const override;
+  common::Duration TimeOf(const std::string&) const override { return {}; }
   //! Slots that may be used at present, after the cold-start ramp.
   std::uint32_t SlotsNow(common::TimePoint aNow) const override;
   std::uint32_t Slots() const { return settings_.slots_; }
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -40,7 +40,7 @@
   , transport_(aTransport)
   , incarnation_(aIncarnation)
   , config_(std::move(aConfig))
-  , sender_(aTransport, [this] { return LoadNow(); })
+  , sender_(aTransport, [this](const std::string& aRoute) { return LoadNow(aRoute); })
   , connections_(aLoop)
   , queue_(std::move(aQueue))
   , callContext_{ aLoop, sender_, connections_, aDialect, [this](const std::string& aReason) {
@@ -109,10 +109,13 @@
   const common::TimePoint deadline = now + std::chrono::milliseconds(aStart.time_left_ms());
   const auto trafficClass = static_cast<config::TrafficClass>(aStart.traffic_class());
   calls_[aKey] = { deadline,
-                   std::make_unique<ForwardedCall>(
-                     callContext_, aFrom, aKey, aStart, [this](const AttemptKey& aEnded) {
-                       OnFinished(AttemptKey(aEnded));
-                     }) };
+                   std::make_unique<ForwardedCall>(callContext_,
+                                                   aFrom,
+                                                   aKey,
+                                                   aStart,
+                                                   [this](const AttemptKey& aEnded, WorkEnd aEnd) {
+                                                     OnFinished(AttemptKey(aEnded), aEnd);
+                                                   }) };
   Work work{ aKey, trafficClass, deadline };
   if (aStart.has_objective()) {
     work.objective_ = now + std::chrono::milliseconds(aStart.objective_left_ms());
@@ -130,13 +133,13 @@
     return;
   }
   counters_.Add("target_calls_cancelled_total");
-  OnFinished(aKey);
+  OnFinished(aKey, WorkEnd::kCutShort);
 }
 
-void TargetForwarder::OnFinished(const AttemptKey& aKey)
+void TargetForwarder::OnFinished(const AttemptKey& aKey, WorkEnd aEnd)
 {
   calls_.erase(aKey);
-  Apply(queue_->Finished(aKey, common::Now()));
+  Apply(queue_->Finished(aKey, aEnd, common::Now()));
 }
 
 void TargetForwarder::Apply(const SlotActions& aActions)
@@ -172,7 +175,7 @@
                      { "queued", queue_->Queued() },
                      { "slots", queue_->SlotsNow(common::Now()) } });
   counters_.Add("target_calls_refused_total{reason=\"" + std::string(aReason) + "\"}");
-  sender_.SendFailed(aTo, aKey, aReason, peer::wire::NOT_RUN);
+  sender_.SendFailed(aTo, aKey, aStart.route(), aReason, peer::wire::NOT_RUN);
 }
 
 void TargetForwarder::RefreshLimits()
@@ -209,4 +212,11 @@
   return load;
 }
 
+peer::wire::Load TargetForwarder::LoadNow(const std::string& aRoute) const
+{
+  peer::wire::Load load = LoadNow();
+  load.set_work_time_us(static_cast<std::uint32_t>(queue_->TimeOf(aRoute).count()));
+  return load;
+}
+
 } // namespace dandelionstand::target
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -66,6 +66,8 @@
   std::size_t InFlight() const { return calls_.size(); }
   //! Running and waiting work and the slots, as told on each answer.
   peer::wire::Load LoadNow() const;
+  //! The same, with the usual time of a route's requests.
+  peer::wire::Load LoadNow(const std::string& aRoute) const;
 
 private:
   struct Entry
@@ -79,7 +81,7 @@
                    const AttemptKey& aKey,
                    const peer::wire::CallStart& aStart);
   void OnCancel(const AttemptKey& aKey);
-  void OnFinished(const AttemptKey& aKey);
+  void OnFinished(const AttemptKey& aKey, WorkEnd aEnd);
   void Apply(const SlotActions& aActions);
   void Refuse(const peer::PeerRef& aTo,
               const AttemptKey& aKey,
--- a/src/dandelionstand/target/UrgencyQueue.cpp
+++ b/src/dandelionstand/target/UrgencyQueue.cpp
@@ -81,14 +81,15 @@
   return actions;
 }
 
-SlotActions UrgencyQueue::Finished(const AttemptKey& aKey, common::TimePoint aNow)
+SlotActions UrgencyQueue::Finished(const AttemptKey& aKey, WorkEnd aEnd, common::TimePoint aNow)
 {
   SlotActions actions;
   const auto found = running_.find(aKey);
   if (found != running_.end()) {
     const common::Duration took = aNow - found->second.since_;
-    times_[found->second.route_].Add(took);
-    anyTime_.Add(took);
+    const bool isWhole = aEnd == WorkEnd::kServed;
+    times_[found->second.route_].AddEnd(took, isWhole);
+    anyTime_.AddEnd(took, isWhole);
     running_.erase(found);
   } else {
     std::erase_if(waiting_, [&](const Work& aWork) { return aWork.key_ == aKey; });
--- a/src/dandelionstand/target/UrgencyQueue.h
+++ b/src/dandelionstand/target/UrgencyQueue.h
@@ -25,11 +25,12 @@
   SlotActions NotReady(common::TimePoint aNow) override;
   SlotActions Drain(common::TimePoint aNow) override;
   SlotActions Offer(const Work& aWork, common::TimePoint aNow) override;
-  SlotActions Finished(const AttemptKey& aKey, common::TimePoint aNow) override;
+  SlotActions Finished(const AttemptKey& aKey, WorkEnd aEnd, common::TimePoint aNow) override;
   SlotActions Tick(common::TimePoint aNow) override;
 
   std::size_t Running() const override { return running_.size(); }
   std::size_t Queued() const override { return waiting_.size(); }
+  common::Duration TimeOf(const std::string& aRoute) const override;
   std::uint32_t SlotsNow(common::TimePoint aNow) const override;
 
 private:
@@ -39,7 +40,6 @@
     common::TimePoint since_;
   };
 
-  common::Duration TimeOf(const std::string& aRoute) const;
   bool IsInTime(const Work& aWork, common::TimePoint aStart) const;
   bool GoesBefore(const Work& aLeft, const Work& aRight, common::TimePoint aNow) const;
   common::Duration WaitOf(const Work& aWork, common::TimePoint aNow) const;
--- a/tests/caller/EndpointPickerTests.cpp
+++ b/tests/caller/EndpointPickerTests.cpp
@@ -10,6 +10,7 @@
 
 const common::TimePoint kStart{ 1h };
 constexpr std::uint64_t kSeed = 7;
+const config::RouteName kRoute("browse");
 
 Endpoint MakeEndpoint(const std::string& aName,
                       const std::string& aDomain,
@@ -49,7 +50,7 @@
 
 std::string PickName(EndpointPicker& aPicker, common::TimePoint aNow = kStart)
 {
-  const auto picked = aPicker.Pick({}, aNow);
+  const auto picked = aPicker.Pick({}, kRoute, aNow);
   return picked ? picked->instance_.Get() : "";
 }
 
@@ -70,11 +71,11 @@
 {
   EndpointPicker picker = MakePicker(kThreeTiers);
   CHECK(PickName(picker) == "near");
-  picker.Reported(common::InstanceId("near"), { 4, 2, 4 }, kStart);
+  picker.Reported(common::InstanceId("near"), kRoute, { 4, 2, 4 }, kStart);
   CHECK(PickName(picker) == "middle");
-  picker.Reported(common::InstanceId("middle"), { 4, 0, 4 }, kStart);
+  picker.Reported(common::InstanceId("middle"), kRoute, { 4, 0, 4 }, kStart);
   CHECK(PickName(picker) == "far");
-  picker.Reported(common::InstanceId("far"), { 4, 0, 4 }, kStart);
+  picker.Reported(common::InstanceId("far"), kRoute, { 4, 0, 4 }, kStart);
   CHECK(PickName(picker) == "near");
   CHECK(PickName(picker, kStart + 10s) == "near");
 }
@@ -93,7 +94,7 @@
 TEST_CASE("The less loaded of two random endpoints is chosen", "[caller][picker]")
 {
   EndpointPicker picker = MakePicker(MakeOneTier(2));
-  picker.Reported(common::InstanceId("e0"), { 2, 0, 4 }, kStart);
+  picker.Reported(common::InstanceId("e0"), kRoute, { 2, 0, 4 }, kStart);
   for (int i = 0; i < 20; ++i) {
     CHECK(PickName(picker) == "e1");
   }
@@ -102,8 +103,8 @@
 TEST_CASE("An endpoint that was tried is not picked again", "[caller][picker]")
 {
   EndpointPicker picker = MakePicker(MakeOneTier(2));
-  CHECK(picker.Pick({ common::InstanceId("e0") }, kStart)->instance_.Get() == "e1");
-  CHECK_FALSE(picker.Pick({ common::InstanceId("e0"), common::InstanceId("e1") }, kStart));
+  CHECK(picker.Pick({ common::InstanceId("e0") }, kRoute, kStart)->instance_.Get() == "e1");
+  CHECK_FALSE(picker.Pick({ common::InstanceId("e0"), common::InstanceId("e1") }, kRoute, kStart));
 }
 
 TEST_CASE("Failing endpoints are ejected up to the ceiling and come back", "[caller][picker]")
@@ -148,3 +149,82 @@
   CHECK(picker.LoadOf(common::InstanceId("e0"), kStart + 5s) == 0.25);
   CHECK(picker.LoadOf(common::InstanceId("e1"), kStart) == 0.25);
 }
+
+namespace {
+
+//! Plays two domains of one region, in which the near endpoint takes aNear and the other one aOther
+//! for a request; each caller's request waits for its answer. Returns the share sent to the other.
+double ShareOfOther(EndpointPicker& aPicker,
+                    common::Duration aNear,
+                    common::Duration aOther,
+                    common::TimePoint aStart = kStart)
+{
+  int others = 0;
+  constexpr int kRequests = 200;
+  common::TimePoint now = aStart;
+  for (int request = 0; request < kRequests; ++request, now += 50ms) {
+    const common::InstanceId picked = aPicker.Pick({}, kRoute, now)->instance_;
+    const bool isOther = picked.Get() == "middle";
+    others += isOther ? 1 : 0;
+    aPicker.Started(picked, now);
+    aPicker.Reported(picked, kRoute, { 1, 0, 18, isOther ? aOther : aNear }, now);
+    aPicker.Ended(picked, AttemptResult::kAnswered, now);
+  }
+  return static_cast<double>(others) / kRequests;
+}
+
+const std::vector<Endpoint> kTwoDomains = { MakeEndpoint("near", "d1", "r1"),
+                                            MakeEndpoint("middle", "d2", "r1") };
+
+} // namespace
+
+TEST_CASE("Endpoints that differ in speed get the requests that they answer sooner",
+          "[caller][picker][replay]")
+{
+  EndpointPicker picker = MakePicker(kTwoDomains);
+  SECTION("a near one of half the speed is left, but looked at again")
+  {
+    CHECK(ShareOfOther(picker, 340ms, 140ms) > 0.95);
+    CHECK(ShareOfOther(picker, 100ms, 140ms, kStart + 30s) < 0.1);
+  }
+  SECTION("a near one that is as fast is kept")
+  {
+    CHECK(ShareOfOther(picker, 140ms, 140ms) < 0.05);
+  }
+  SECTION("large answers stay in the domain")
+  {
+    picker.AnswerSize(kRoute, 90UL * 1024);
+    CHECK(ShareOfOther(picker, 340ms, 140ms) == 0.0);
+  }
+}
+
+TEST_CASE("An endpoint of which nothing is known is tried with one request",
+          "[caller][picker][replay]")
+{
+  EndpointPicker picker = MakePicker(kTwoDomains);
+  picker.Reported(common::InstanceId("near"), kRoute, { 1, 0, 18, 200ms }, kStart);
+  CHECK(PickName(picker) == "middle");
+  picker.Started(common::InstanceId("middle"), kStart);
+  CHECK(PickName(picker) == "near");
+}
+
+TEST_CASE("An endpoint that fails part of its requests gets fewer, and is tried again later",
+          "[caller][picker][replay]")
+{
+  EndpointPicker picker = MakePicker(kTwoDomains);
+  for (const char* name : { "near", "middle" }) {
+    picker.Reported(common::InstanceId(name), kRoute, { 1, 0, 18, 100ms }, kStart);
+  }
+  CHECK(PickName(picker) == "near");
+  for (int request = 0; request < 10; ++request) {
+    const bool isShed = request % 2 == 0;
+    picker.Started(common::InstanceId("near"), kStart);
+    picker.Ended(
+      common::InstanceId("near"), isShed ? AttemptResult::kShed : AttemptResult::kAnswered, kStart);
+  }
+  CHECK(PickName(picker) == "middle");
+  for (const char* name : { "near", "middle" }) {
+    picker.Reported(common::InstanceId(name), kRoute, { 1, 0, 18, 100ms }, kStart + 20s);
+  }
+  CHECK(PickName(picker, kStart + 20s) == "near");
+}
--- a/tests/target/SlotQueueTests.cpp
+++ b/tests/target/SlotQueueTests.cpp
@@ -48,7 +48,7 @@
   CHECK(queue.Offer(MakeWork(3), kStart).empty());
   CHECK(queue.Offer(MakeWork(4), kStart) == Refused(4, RefuseReason::kQueueFull));
   CHECK(queue.Running() == 2);
-  CHECK(queue.Finished(MakeWork(1).key_, kStart + 1ms) == Started(3));
+  CHECK(queue.Finished(MakeWork(1).key_, WorkEnd::kServed, kStart + 1ms) == Started(3));
 }
 
 TEST_CASE("A target that is not ready or drains starts nothing new", "[target][slots]")
@@ -64,14 +64,14 @@
   CHECK(queue.Offer(MakeWork(6), kStart) == Refused(6, RefuseReason::kDraining));
   SECTION("waiting work still runs")
   {
-    CHECK(queue.Finished(MakeWork(2).key_, kStart) == Started(4));
+    CHECK(queue.Finished(MakeWork(2).key_, WorkEnd::kServed, kStart) == Started(4));
   }
   SECTION("waiting work is refused when the drain takes long")
   {
     CHECK(queue.Tick(kStart + 900ms).empty());
     CHECK(queue.Tick(kStart + 1s).size() == 2);
     CHECK(queue.Queued() == 0);
-    CHECK(queue.Finished(MakeWork(2).key_, kStart + 2s).empty());
+    CHECK(queue.Finished(MakeWork(2).key_, WorkEnd::kServed, kStart + 2s).empty());
   }
 }
 
@@ -79,7 +79,7 @@
 {
   SlotQueue queue = MakeWarmQueue(1, 8);
   queue.Offer(MakeWork(1), kStart);
-  queue.Finished(MakeWork(1).key_, kStart + 100ms);
+  queue.Finished(MakeWork(1).key_, WorkEnd::kServed, kStart + 100ms);
   CHECK(queue.Offer(MakeWork(2, TrafficClass::kBrowse, 50ms), kStart) ==
         Refused(2, RefuseReason::kHopeless));
   CHECK(queue.Offer(MakeWork(3), kStart) == Started(3));
@@ -100,7 +100,7 @@
   REQUIRE(actions.size() == 1);
   CHECK(std::get<RefuseWork>(actions[0]).reason_ == RefuseReason::kQueueFull);
   CHECK(std::get<RefuseWork>(actions[0]).key_ != MakeWork(100).key_);
-  CHECK(queue.Finished(MakeWork(0).key_, kStart) == Started(100));
+  CHECK(queue.Finished(MakeWork(0).key_, WorkEnd::kServed, kStart) == Started(100));
 }
 
 TEST_CASE("Within a class the least time left goes first", "[target][slots]")
@@ -109,7 +109,7 @@
   queue.Offer(MakeWork(1), kStart);
   queue.Offer(MakeWork(2, TrafficClass::kBrowse, 900ms), kStart);
   queue.Offer(MakeWork(3, TrafficClass::kBrowse, 500ms), kStart);
-  CHECK(queue.Finished(MakeWork(1).key_, kStart) == Started(3));
+  CHECK(queue.Finished(MakeWork(1).key_, WorkEnd::kServed, kStart) == Started(3));
 }
 
 TEST_CASE("A cold target takes a growing share of its slots", "[target][slots]")
--- a/tests/target/UrgencyQueueTests.cpp
+++ b/tests/target/UrgencyQueueTests.cpp
@@ -35,7 +35,7 @@
 void Teach(AdmissionQueue& aQueue, common::Duration aTime)
 {
   aQueue.Offer(MakeWork(1'000'000, kStart - 1h), kStart - 1h);
-  aQueue.Finished(Key(1'000'000), kStart - 1h + aTime);
+  aQueue.Finished(Key(1'000'000), WorkEnd::kServed, kStart - 1h + aTime);
 }
 
 struct ReplayResult
@@ -79,7 +79,7 @@
       ends.pop();
       const common::Duration took = end - offeredAt.at(ended);
       ++(took <= 600ms ? result.inTime_ : result.late_);
-      apply(aQueue.Finished(Key(ended), end), end);
+      apply(aQueue.Finished(Key(ended), WorkEnd::kServed, end), end);
     }
     for (; nextOffer <= now; nextOffer += gap) {
       offeredAt[++number] = now;
@@ -140,9 +140,12 @@
   Work missed = MakeWork(4, kStart, 0);
   missed.objective_ = kStart;
   queue.Offer(missed, kStart);
-  CHECK(queue.Finished(Key(1), kStart + 50ms) == SlotActions{ StartWork{ Key(3) } });
-  CHECK(queue.Finished(Key(3), kStart + 100ms) == SlotActions{ StartWork{ Key(2) } });
-  CHECK(queue.Finished(Key(2), kStart + 150ms) == SlotActions{ StartWork{ Key(4) } });
+  CHECK(queue.Finished(Key(1), WorkEnd::kServed, kStart + 50ms) ==
+        SlotActions{ StartWork{ Key(3) } });
+  CHECK(queue.Finished(Key(3), WorkEnd::kServed, kStart + 100ms) ==
+        SlotActions{ StartWork{ Key(2) } });
+  CHECK(queue.Finished(Key(2), WorkEnd::kServed, kStart + 150ms) ==
+        SlotActions{ StartWork{ Key(4) } });
 }
 
 TEST_CASE("A target that is gone or drains keeps no work waiting", "[target][urgency]")
