Latency histograms and gauges on the metrics address; the log never waits for its reader

Histograms from 0.1 ms to 10 s (Boost.Histogram, moved from load to common): requests by kind and outcome, the time that the mesh adds (the target side tells its part on the end of an answer), waiting and work at the target. Gauges: slots, queue, connections, retries left by service, members, age of the configuration.

One ToText for traffic classes in place of two.

--- a/src/dandelionstand/caller/ActiveCall.h
+++ b/src/dandelionstand/caller/ActiveCall.h
@@ -62,6 +62,7 @@
   std::size_t BodyBytes() const { return request_.body_.size(); }
   const CallRoute& Route() const { return route_; }
   std::uint32_t AttemptsMade() const { return machine_.AttemptsMade(); }
+  common::Duration TargetTime() const { return machine_.TargetTime(); }
   //! The endpoint that was tried last.
   const Endpoint& LastEndpoint() const { return machine_.CurrentEndpoint(); }
 
--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -150,6 +150,7 @@
     StartAttempt(aNow, actions);
     return actions;
   }
+  targetTime_ = aEnd.targetTime_;
   FlushHeld(actions);
   actions.push_back(FinishAnswer{});
   done_ = true;
--- a/src/dandelionstand/caller/CallMachine.h
+++ b/src/dandelionstand/caller/CallMachine.h
@@ -51,6 +51,8 @@
   std::uint32_t Attempt() const { return isRunning_ ? attempt_ : 0; }
   const Endpoint& CurrentEndpoint() const { return endpoint_; }
   std::uint32_t AttemptsMade() const { return attempt_; }
+  //! Time that the target took for the answer that was passed on; 0 if there is none.
+  common::Duration TargetTime() const { return targetTime_; }
   //! Answers that belonged to no running attempt, or frames seen before.
   std::uint64_t Dropped() const { return dropped_; }
 
@@ -97,6 +99,7 @@
   std::uint64_t credit_ = 0;  //!< Bytes that the target side may still send.
   bool headSent_ = false;
   DownloadProgress progress_;
+  common::Duration targetTime_{ 0 };
   std::uint64_t dropped_ = 0;
 };
 
--- a/src/dandelionstand/caller/CallTypes.h
+++ b/src/dandelionstand/caller/CallTypes.h
@@ -155,6 +155,7 @@
   std::uint64_t length_ = 0;
   std::uint64_t checksum_ = 0; //!< XXH3 of the whole body.
   ReportedLoad load_;
+  common::Duration targetTime_{ 0 }; //!< That the target took for the answer; 0: unknown.
 };
 
 struct AttemptFailed
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -104,6 +104,7 @@
   void Finish() override
   {
     server_.CountOutcome("answered");
+    Observe("answered");
     Log(common::Severity::kInfo, "request_answered", "", RunState::kRun);
     connection_.Unwatch();
     connection_.Finish();
@@ -111,6 +112,7 @@
   void Refuse(const Refusal& aRefusal) override
   {
     server_.CountOutcome(std::string(ToText(aRefusal.runState_)));
+    Observe(std::string(ToText(aRefusal.runState_)));
     server_.context_.counters_.Add("caller_refusals_total{reason=\"" + aRefusal.reason_ + "\"}");
     connection_.Unwatch();
     Refusal refusal = aRefusal;
@@ -124,14 +126,20 @@
   void Abort(const std::string& aReason) override
   {
     server_.CountOutcome("broken-off");
+    Observe("broken-off");
     Log(common::Severity::kWarn, "request_broken_off", aReason, RunState::kUnknown);
     connection_.Unwatch();
     connection_.Abort();
   }
-  void OnGone() { Log(common::Severity::kInfo, "caller_gone", "", RunState::kUnknown); }
+  void OnGone()
+  {
+    Observe("gone");
+    Log(common::Severity::kInfo, "caller_gone", "", RunState::kUnknown);
+  }
 
 private:
   CallerServer& server_;
+  void Observe(const std::string& aOutcome) const;
   void Log(common::Severity aSeverity,
            const char* aEvent,
            const std::string& aReason,
@@ -144,6 +152,22 @@
   common::TimePoint since_ = common::Now();
 };
 
+void CallerServer::Exchange::Observe(const std::string& aOutcome) const
+{
+  const ActiveCall* call = server_.FindCall(call_);
+  const char* kind = call == nullptr ? "none" : config::ToText(call->Route().route_.trafficClass_);
+  const common::Duration took = common::Now() - since_;
+  common::Counters& counters = server_.context_.counters_;
+  counters.Observe("caller_request_seconds{kind=\"" + std::string(kind) + "\",outcome=\"" +
+                     aOutcome + "\"}",
+                   took);
+  // Of requests that went to one endpoint alone the rest of the time is the mesh's.
+  if (call != nullptr && call->AttemptsMade() == 1 && call->TargetTime().count() > 0) {
+    counters.Observe("caller_added_seconds",
+                     std::max(common::Duration(0), took - call->TargetTime()));
+  }
+}
+
 void CallerServer::Exchange::Log(common::Severity aSeverity,
                                  const char* aEvent,
                                  const std::string& aReason,
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -92,6 +92,11 @@
   std::size_t Connections() const { return server_.Connections(); }
   //! The retry budgets of all services; see RetryBudget.
   void SetRetryBudget(const RetryBudgetSettings& aSettings) { policies_.SetRetryBudget(aSettings); }
+  //! Retries that the budgets of the services allow at present.
+  std::map<common::ServiceName, std::uint64_t> RetriesLeft()
+  {
+    return policies_.RetriesLeft(common::Now());
+  }
   //! Requests whose answer is not yet written whole.
   std::size_t InFlight() const { return exchanges_.size() + orders_.Open(); }
   //! Keyed orders of this daemon: open ones, and those whose outcome is kept for repeats.
--- a/src/dandelionstand/caller/ServicePolicies.cpp
+++ b/src/dandelionstand/caller/ServicePolicies.cpp
@@ -1,5 +1,7 @@
 #include "dandelionstand/caller/ServicePolicies.h"
 
+#include <algorithm>
+
 namespace dandelionstand::caller {
 
 namespace {
@@ -29,6 +31,16 @@
   return settings;
 }
 
+std::map<common::ServiceName, std::uint64_t> ServicePolicies::RetriesLeft(
+  common::TimePoint aNow) const
+{
+  std::map<common::ServiceName, std::uint64_t> left;
+  for (const auto& [service, policy] : policies_) {
+    left[service] = static_cast<std::uint64_t>(std::max(0.0, policy->budget_.Left(aNow)));
+  }
+  return left;
+}
+
 ServicePolicy& ServicePolicies::For(const common::ServiceName& aService,
                                     const config::Limits& aLimits,
                                     common::TimePoint aNow)
--- a/src/dandelionstand/caller/ServicePolicies.h
+++ b/src/dandelionstand/caller/ServicePolicies.h
@@ -37,6 +37,9 @@
                      const config::Limits& aLimits,
                      common::TimePoint aNow);
 
+  //! Retries that are left at present, by service.
+  std::map<common::ServiceName, std::uint64_t> RetriesLeft(common::TimePoint aNow) const;
+
 private:
   RetryBudgetSettings BudgetOf(const config::Limits& aLimits) const;
 
--- a/src/dandelionstand/caller/WireCalls.cpp
+++ b/src/dandelionstand/caller/WireCalls.cpp
@@ -93,7 +93,10 @@
 
 AttemptEnd ToAttemptEnd(const peer::wire::AnswerEnd& aEnd)
 {
-  return { aEnd.length(), aEnd.checksum(), ToLoad(aEnd.load()) };
+  return { aEnd.length(),
+           aEnd.checksum(),
+           ToLoad(aEnd.load()),
+           std::chrono::microseconds(aEnd.target_time_us()) };
 }
 
 AttemptFailed ToAttemptFailed(const peer::wire::AnswerFailed& aFailed)
--- a/src/dandelionstand/common/Counters.h
+++ b/src/dandelionstand/common/Counters.h
@@ -1,13 +1,15 @@
 #ifndef dandelionstand_common_Counters_h
 #define dandelionstand_common_Counters_h
 
+#include "dandelionstand/common/LatencyHistogram.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
 
 namespace dandelionstand::common {
 
-//! Counters and gauges of one process, named as they appear on the metrics endpoint.
+//! Counters, gauges and latencies of one process, named as they appear on the metrics endpoint.
 class Counters
 {
 public:
@@ -21,11 +23,15 @@
 
   const std::map<std::string, std::uint64_t>& All() const { return values_; }
 
-  //! Text exposition format: one `dandelion_name value` line for each counter.
+  //! Adds a latency to the histogram of that name, which ends in `_seconds` before its labels.
+  void Observe(const std::string& aName, Duration aLatency) { latencies_[aName].Add(aLatency); }
+
+  //! Text exposition format: one `dandelion_name value` line for each counter, then the histograms.
   std::string ToText() const;
 
 private:
   std::map<std::string, std::uint64_t> values_;
+  std::map<std::string, LatencyHistogram> latencies_;
 };
 
 } // namespace dandelionstand::common
--- a/src/dandelionstand/load/LatencyHistogram.cpp
+++ b/src/dandelionstand/common/LatencyHistogram.cpp
@@ -1,17 +1,16 @@
-#include "dandelionstand/load/LatencyHistogram.h"
+#include "dandelionstand/common/LatencyHistogram.h"
 
 #include <boost/histogram.hpp>
 
 #include <algorithm>
 #include <cmath>
 
-namespace dandelionstand::load {
+namespace dandelionstand::common {
 
 namespace {
 
 namespace bh = boost::histogram;
 
-using common::Duration;
 using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
 
 constexpr unsigned kBinCount = 800;
@@ -45,6 +44,7 @@
 LatencyHistogram::LatencyHistogram(const LatencyHistogram& aOther)
   : impl_(std::make_unique<Impl>(*aOther.impl_))
   , count_(aOther.count_)
+  , sum_(aOther.sum_)
   , max_(aOther.max_)
 {
 }
@@ -54,6 +54,7 @@
   if (this != &aOther) {
     *impl_ = *aOther.impl_;
     count_ = aOther.count_;
+    sum_ = aOther.sum_;
     max_ = aOther.max_;
   }
   return *this;
@@ -65,6 +66,7 @@
     std::clamp(static_cast<double>(aLatency.count()), kLowestUs, std::nexttoward(kHighestUs, 0.0L));
   impl_->histogram_(clamped);
   count_ += 1;
+  sum_ += aLatency;
   max_ = std::max(max_, aLatency);
 }
 
@@ -72,6 +74,7 @@
 {
   impl_->histogram_ += aOther.impl_->histogram_;
   count_ += aOther.count_;
+  sum_ += aOther.sum_;
   max_ = std::max(max_, aOther.max_);
 }
 
@@ -100,4 +103,4 @@
   return bins;
 }
 
-} // namespace dandelionstand::load
+} // namespace dandelionstand::common
--- a/src/dandelionstand/load/LatencyHistogram.h
+++ b/src/dandelionstand/common/LatencyHistogram.h
@@ -1,5 +1,5 @@
-#ifndef dandelionstand_load_LatencyHistogram_h
-#define dandelionstand_load_LatencyHistogram_h
+#ifndef dandelionstand_common_LatencyHistogram_h
+#define dandelionstand_common_LatencyHistogram_h
 
 #include "dandelionstand/common/Time.h"
 
@@ -7,13 +7,13 @@
 #include <memory>
 #include <vector>
 
-namespace dandelionstand::load {
+namespace dandelionstand::common {
 
 //! A bin of the histogram that holds something.
 struct LatencyBin
 {
-  common::Duration lower_{};
-  common::Duration upper_{};
+  Duration lower_{};
+  Duration upper_{};
   std::uint64_t count_ = 0;
 };
 
@@ -27,13 +27,14 @@
   LatencyHistogram(const LatencyHistogram& aOther);
   LatencyHistogram& operator=(const LatencyHistogram& aOther);
 
-  void Add(common::Duration aLatency);
+  void Add(Duration aLatency);
   void Append(const LatencyHistogram& aOther);
 
   std::uint64_t Count() const { return count_; }
-  common::Duration Max() const { return max_; }
+  Duration Sum() const { return sum_; }
+  Duration Max() const { return max_; }
   //! The upper edge of the bin in which the quantile lies, at most Max(); 0 if nothing was added.
-  common::Duration Quantile(double aQuantile) const;
+  Duration Quantile(double aQuantile) const;
   //! The bins that hold something, in order.
   std::vector<LatencyBin> Bins() const;
 
@@ -42,9 +43,10 @@
 
   std::unique_ptr<Impl> impl_;
   std::uint64_t count_ = 0;
-  common::Duration max_{};
+  Duration sum_{};
+  Duration max_{};
 };
 
-} // namespace dandelionstand::load
+} // namespace dandelionstand::common
 
-#endif // dandelionstand_load_LatencyHistogram_h
+#endif // dandelionstand_common_LatencyHistogram_h
--- a/src/dandelionstand/config/ResourceJson.cpp
+++ b/src/dandelionstand/config/ResourceJson.cpp
@@ -23,7 +23,10 @@
 constexpr Range kAttemptsRange{ 1, 10 };
 
 const std::array<const char*, 3> kIdempotencyNames{ "idempotent", "keyed", "once" };
-const std::array<const char*, 4> kTrafficClassNames{ "order", "lookup", "download", "browse" };
+const std::array<const char*, 4> kTrafficClassNames{ ToText(TrafficClass::kOrder),
+                                                     ToText(TrafficClass::kLookup),
+                                                     ToText(TrafficClass::kDownload),
+                                                     ToText(TrafficClass::kBrowse) };
 const std::array<const char*, 7> kMethods{ "GET",    "HEAD",  "POST",   "PUT",
                                            "DELETE", "PATCH", "OPTIONS" };
 
--- a/src/dandelionstand/config/Resources.cpp
+++ b/src/dandelionstand/config/Resources.cpp
@@ -20,6 +20,21 @@
   return std::string(SectionName(kind_)) + "." + name_;
 }
 
+const char* ToText(TrafficClass aClass)
+{
+  switch (aClass) {
+    case TrafficClass::kOrder:
+      return "order";
+    case TrafficClass::kLookup:
+      return "lookup";
+    case TrafficClass::kDownload:
+      return "download";
+    case TrafficClass::kBrowse:
+      return "browse";
+  }
+  return "";
+}
+
 ResourceKind KindOf(const ResourceValue& aValue)
 {
   return static_cast<ResourceKind>(aValue.index());
--- a/src/dandelionstand/config/Resources.h
+++ b/src/dandelionstand/config/Resources.h
@@ -53,6 +53,9 @@
   kBrowse,
 };
 
+//! The class's name in documents, metrics and reports.
+const char* ToText(TrafficClass aClass);
+
 //! How much work each endpoint of a service takes.
 struct Limits
 {
--- a/src/dandelionstand/daemon/AdminServer.cpp
+++ b/src/dandelionstand/daemon/AdminServer.cpp
@@ -30,6 +30,9 @@
   , server_(aLoop, aListen)
 {
   server_.Handle("/metrics", [this](evhttp_request* aRequest) {
+    if (updateGauges_) {
+      updateGauges_();
+    }
     common::SendReply(aRequest, kOk, kText, counters_.ToText());
   });
   server_.Handle("/dump", [this](evhttp_request* aRequest) { OnDump(aRequest); });
--- a/src/dandelionstand/daemon/AdminServer.h
+++ b/src/dandelionstand/daemon/AdminServer.h
@@ -31,6 +31,8 @@
 
   //! Adds a section to the answer of GET /dump.
   void AddDumpSection(const std::string& aName, Section aSection);
+  //! Called before GET /metrics is answered, to bring the gauges up to date.
+  void SetGauges(std::function<void()> aUpdate) { updateGauges_ = std::move(aUpdate); }
   //! Sets the answer of GET /status.
   void SetStatus(Section aStatus) { status_ = std::move(aStatus); }
 
@@ -51,6 +53,7 @@
   common::HttpServer server_;
   std::map<std::string, Section> sections_;
   Section status_;
+  std::function<void()> updateGauges_;
   sigc::signal<void, const common::ServiceName&, const common::Address&> targetAnnounced_;
   sigc::signal<void> targetLeaving_;
 };
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -149,6 +149,12 @@
   return std::make_unique<target::SlotQueue>(target::SlotSettings{});
 }
 
+std::ptrdiff_t LiveCount(const peer::Members& aMembers)
+{
+  return std::count_if(
+    aMembers.begin(), aMembers.end(), [](const peer::Member& aMember) { return aMember.IsLive(); });
+}
+
 std::string ReadText(const std::string& aFile)
 {
   std::ifstream file(aFile);
@@ -241,6 +247,8 @@
   membership_.Changed().connect(sigc::mem_fun(*this, &Daemon::OnMembersChanged));
   config_->VersionChanged().connect(
     sigc::mem_fun(membership_, &peer::MembershipTask::SetConfigVersion));
+  config_->VersionChanged().connect([this](common::Version) { configSince_ = common::Now(); });
+  admin_.SetGauges([this] { UpdateGauges(); });
   admin_.SetStatus([this] { return config_->Status(); });
   admin_.AddDumpSection("members", [this] { return DumpMembers(); });
   admin_.TargetAnnounced().connect(sigc::mem_fun(*this, &Daemon::OnTargetAnnounced));
@@ -271,6 +279,31 @@
   admin_.AddDumpSection("roles", [this] { return config_->DumpRoles(); });
 }
 
+void Daemon::UpdateGauges()
+{
+  const common::TimePoint now = common::Now();
+  const auto seconds = [&](common::TimePoint aSince) {
+    return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(now - aSince).count());
+  };
+  const peer::wire::Load load = forwarder_.LoadNow();
+  counters_.Set("target_running", load.running());
+  counters_.Set("target_queued", load.queued());
+  counters_.Set("target_slots", load.slots());
+  counters_.Set("caller_connections", callerServer_.Connections());
+  counters_.Set("caller_requests_in_flight", callerServer_.InFlight());
+  for (const auto& [service, left] : callerServer_.RetriesLeft()) {
+    counters_.Set("caller_retries_left{service=\"" + service.Get() + "\"}", left);
+  }
+  const peer::Members members = membership_.State().All();
+  counters_.Set("members_live", static_cast<std::uint64_t>(LiveCount(members)));
+  counters_.Set("members_known", members.size());
+  if (config_->InForce()) {
+    counters_.Set("config_age_seconds", seconds(configSince_));
+  }
+  counters_.Set("uptime_seconds", seconds(startedAt_));
+}
+
 nlohmann::json Daemon::DumpQueue() const
 {
   const peer::wire::Load load = forwarder_.LoadNow();
@@ -356,9 +389,7 @@
   if (!settings_.platform_) {
     return;
   }
-  const peer::Members members = membership_.State().All();
-  const auto live = std::count_if(
-    members.begin(), members.end(), [](const peer::Member& aMember) { return aMember.IsLive(); });
+  const auto live = LiveCount(membership_.State().All());
   const platform::PlatformBounds& bounds = settings_.platform_->bounds_;
   caller::RetryBudgetSettings budget;
   budget.share_ = bounds.retryShare_ * kUsedRetryShare;
--- a/src/dandelionstand/daemon/Daemon.h
+++ b/src/dandelionstand/daemon/Daemon.h
@@ -60,6 +60,7 @@
   void CheckDrained();
   void Finish(ExitStatus aStatus);
   void SetUpAdmin();
+  void UpdateGauges();
   nlohmann::json DumpLinks() const;
   nlohmann::json DumpQueue() const;
   void OnMembersChanged();
@@ -95,6 +96,7 @@
   std::unique_ptr<common::Watch> drainCheck_;
   std::unique_ptr<common::Watch> drainLimit_;
   std::unique_ptr<common::Watch> flush_;
+  common::TimePoint configSince_; //!< When the version in force came into force.
   bool isDraining_ = false;
   common::TimePoint drainingSince_;
   ExitStatus status_ = ExitStatus::kOk;
--- a/src/dandelionstand/load/Bench.h
+++ b/src/dandelionstand/load/Bench.h
@@ -1,10 +1,10 @@
 #ifndef dandelionstand_load_Bench_h
 #define dandelionstand_load_Bench_h
 
+#include "dandelionstand/common/LatencyHistogram.h"
 #include "dandelionstand/load/ExperimentConfig.h"
 #include "dandelionstand/load/Fleet.h"
 #include "dandelionstand/load/FleetStats.h"
-#include "dandelionstand/load/LatencyHistogram.h"
 #include "dandelionstand/load/LoadRun.h"
 #include "dandelionstand/load/Publisher.h"
 
@@ -27,7 +27,8 @@
 //! How soon published versions were in force.
 struct ConvergenceTimes
 {
-  LatencyHistogram delays_;   //!< From the sending of the append, one for each daemon and version.
+  common::LatencyHistogram
+    delays_;                  //!< From the sending of the append, one for each daemon and version.
   std::uint64_t missing_ = 0; //!< Daemons that did not log a version in time.
   std::uint64_t recordBytes_ = 0; //!< Of all records together.
   std::uint64_t versions_ = 0;
--- a/src/dandelionstand/load/CallsExperiment.cpp
+++ b/src/dandelionstand/load/CallsExperiment.cpp
@@ -118,7 +118,7 @@
   const ClassTally* mesh = FindTally(aStep, Via::kMesh);
   const ClassTally* direct = FindTally(aStep, Via::kDirect);
   const bool hasDirect = direct != nullptr;
-  return { ToString(aStep.trafficClass_),
+  return { config::ToText(aStep.trafficClass_),
            FormatNumber(aStep.rate_, 0),
            std::to_string(mesh == nullptr ? 0 : mesh->calls_),
            std::to_string(mesh == nullptr ? 0 : mesh->CountOf(Verdict::kWhole)),
--- a/src/dandelionstand/load/Mix.cpp
+++ b/src/dandelionstand/load/Mix.cpp
@@ -46,7 +46,7 @@
 std::optional<TrafficClass> ParseClass(const std::string& aName)
 {
   for (const TrafficClass value : kTrafficClasses) {
-    if (ToString(value) == aName) {
+    if (config::ToText(value) == aName) {
       return value;
     }
   }
@@ -90,21 +90,6 @@
 
 } // namespace
 
-std::string ToString(TrafficClass aClass)
-{
-  switch (aClass) {
-    case TrafficClass::kOrder:
-      return "order";
-    case TrafficClass::kLookup:
-      return "lookup";
-    case TrafficClass::kDownload:
-      return "download";
-    case TrafficClass::kBrowse:
-      return "browse";
-  }
-  return "browse";
-}
-
 Mix::Mix(std::vector<CallClass> aClasses, std::string aRunName, std::uint64_t aSeed)
   : classes_(std::move(aClasses))
   , runName_(std::move(aRunName))
--- a/src/dandelionstand/load/Mix.h
+++ b/src/dandelionstand/load/Mix.h
@@ -22,9 +22,6 @@
   std::uint64_t answerBytes_ = 0; //!< Body length that is asked for; 0 leaves it to the target.
 };
 
-//! The short name of a class in reports: "order", "lookup", "download" or "browse".
-std::string ToString(config::TrafficClass aClass);
-
 //! One call that is ready to be sent.
 struct CallPlan
 {
--- a/src/dandelionstand/load/Report.cpp
+++ b/src/dandelionstand/load/Report.cpp
@@ -33,7 +33,7 @@
 {
   std::vector<std::string> row = { ToString(aKey.via_),
                                    RateOf(aResults, aKey.step_),
-                                   ToString(aKey.trafficClass_),
+                                   config::ToText(aKey.trafficClass_),
                                    std::to_string(aTally.calls_) };
   for (const Verdict verdict : kVerdicts) {
     row.push_back(std::to_string(aTally.CountOf(verdict)));
@@ -48,7 +48,7 @@
 
 std::string NameOf(const TallyKey& aKey)
 {
-  return ToString(aKey.via_) + " " + ToString(aKey.trafficClass_);
+  return ToString(aKey.via_) + " " + config::ToText(aKey.trafficClass_);
 }
 
 std::string NameSome(const std::string& aTitle, const std::vector<std::string>& aOrders)
@@ -74,11 +74,11 @@
   return text;
 }
 
-PlotSeries MakeTail(const std::string& aName, const LatencyHistogram& aLatency)
+PlotSeries MakeTail(const std::string& aName, const common::LatencyHistogram& aLatency)
 {
   PlotSeries series{ aName, {} };
   std::uint64_t seen = 0;
-  for (const LatencyBin& bin : aLatency.Bins()) {
+  for (const common::LatencyBin& bin : aLatency.Bins()) {
     seen += bin.count_;
     const double above = static_cast<double>(aLatency.Count() - seen + 1);
     series.points_.push_back(
@@ -104,7 +104,7 @@
 struct NamedLatency
 {
   std::string name_;
-  LatencyHistogram latency_;
+  common::LatencyHistogram latency_;
 };
 
 std::vector<NamedLatency> MergeSteps(const Tally& aTally)
@@ -155,7 +155,8 @@
     if (key.via_ != Via::kMesh || direct == classes.end()) {
       continue;
     }
-    std::vector<std::string> row = { RateOf(aResults, key.step_), ToString(key.trafficClass_) };
+    std::vector<std::string> row = { RateOf(aResults, key.step_),
+                                     config::ToText(key.trafficClass_) };
     for (const double quantile : kQuantiles) {
       row.push_back(Milliseconds(tally.latency_.Quantile(quantile) -
                                  direct->second.latency_.Quantile(quantile)));
--- a/src/dandelionstand/load/Tally.h
+++ b/src/dandelionstand/load/Tally.h
@@ -1,8 +1,8 @@
 #ifndef dandelionstand_load_Tally_h
 #define dandelionstand_load_Tally_h
 
+#include "dandelionstand/common/LatencyHistogram.h"
 #include "dandelionstand/load/AnswerCheck.h"
-#include "dandelionstand/load/LatencyHistogram.h"
 
 #include <array>
 #include <cstdint>
@@ -52,7 +52,7 @@
 //! Counts of one key.
 struct ClassTally
 {
-  LatencyHistogram latency_; //!< Of whole answers.
+  common::LatencyHistogram latency_; //!< Of whole answers.
   std::uint64_t calls_ = 0;
   std::uint64_t attempts_ = 0;
   std::array<std::uint64_t, kVerdictCount> verdicts_{};
--- a/src/dandelionstand/target/ForwardedCall.cpp
+++ b/src/dandelionstand/target/ForwardedCall.cpp
@@ -1,5 +1,6 @@
 #include "dandelionstand/target/ForwardedCall.h"
 
+#include "dandelionstand/common/Counters.h"
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/common/HttpHeaders.h"
@@ -69,6 +70,7 @@
 void ForwardedCall::Start(common::TimePoint aDeadline, const std::string& aExpectedInstance)
 {
   const common::TimePoint now = common::Now();
+  startedAt_ = now;
   const bool isIdempotent = start_.idempotency() == peer::wire::IDEMPOTENT;
   connection_ = context_.connections_.Take(!isIdempotent, now);
   deadline_ = context_.loop_.After(aDeadline - now, [this] { OnTimeout(); });
@@ -184,7 +186,10 @@
       context_.sender_.SendFailed(from_, key_, start_.route(), "target-shed", peer::wire::NOT_RUN);
       break;
     case dialect::AnswerVerdict::kOwn: {
+      const common::Duration took = common::Now() - startedAt_;
+      context_.counters_.Observe("target_work_seconds", took);
       peer::wire::AnswerEnd end;
+      end.set_target_time_us(static_cast<std::uint32_t>(took.count()));
       end.set_length(length_);
       end.set_checksum(XXH3_64bits_digest(hash_));
       context_.sender_.SendEnd(from_, key_, start_.route(), std::move(end));
--- a/src/dandelionstand/target/ForwardedCall.h
+++ b/src/dandelionstand/target/ForwardedCall.h
@@ -17,6 +17,10 @@
 #include <string>
 #include <string_view>
 
+namespace dandelionstand::common {
+class Counters;
+} // namespace dandelionstand::common
+
 namespace dandelionstand::target {
 
 class AnswerSender;
@@ -35,6 +39,7 @@
   struct Context
   {
     common::EventLoop& loop_;
+    common::Counters& counters_;
     AnswerSender& sender_;
     TargetConnections& connections_;
     const dialect::TargetDialect& dialect_;
@@ -84,6 +89,7 @@
   http::Headers sent_;
   http::ResponseHead head_;
   dialect::AnswerVerdict verdict_ = dialect::AnswerVerdict::kOwn;
+  common::TimePoint startedAt_;
   std::unique_ptr<common::Watch> deadline_;
   std::unique_ptr<common::Watch> idleLimit_;
   std::unique_ptr<common::Watch> finishLater_;
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -43,9 +43,10 @@
   , sender_(aTransport, [this](const std::string& aRoute) { return LoadNow(aRoute); })
   , connections_(aLoop)
   , queue_(std::move(aQueue))
-  , callContext_{ aLoop, sender_, connections_, aDialect, [this](const std::string& aReason) {
-                   targetLost_.emit(aReason);
-                 } }
+  , callContext_{ aLoop,    aCounters,
+                  sender_,  connections_,
+                  aDialect, [this](const std::string& aReason) {
+                   targetLost_.emit(aReason); } }
 {
   transport_.Received().connect(sigc::mem_fun(*this, &TargetForwarder::OnEnvelope));
   tick_ = loop_.Every(kTickInterval, [this] { Tick(); });
@@ -108,7 +109,8 @@
   const common::TimePoint now = common::Now();
   const common::TimePoint deadline = now + std::chrono::milliseconds(aStart.time_left_ms());
   const auto trafficClass = static_cast<config::TrafficClass>(aStart.traffic_class());
-  calls_[aKey] = { deadline,
+  calls_[aKey] = { now,
+                   deadline,
                    std::make_unique<ForwardedCall>(callContext_,
                                                    aFrom,
                                                    aKey,
@@ -148,6 +150,7 @@
     if (const auto* start = std::get_if<StartWork>(&action)) {
       counters_.Add("target_calls_forwarded_total");
       Entry& entry = calls_.at(start->key_);
+      counters_.Observe("target_wait_seconds", common::Now() - entry.offeredAt_);
       entry.call_->Start(entry.deadline_, target_.startId_);
     } else if (const auto* refusal = std::get_if<RefuseWork>(&action)) {
       const auto found = calls_.find(refusal->key_);
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -72,6 +72,7 @@
 private:
   struct Entry
   {
+    common::TimePoint offeredAt_;
     common::TimePoint deadline_;
     std::unique_ptr<ForwardedCall> call_;
   };
--- a/tests/load/LatencyHistogramTests.cpp
+++ b/tests/common/LatencyHistogramTests.cpp
@@ -1,8 +1,8 @@
-#include "dandelionstand/load/LatencyHistogram.h"
+#include "dandelionstand/common/LatencyHistogram.h"
 
 #include <catch2/catch.hpp>
 
-using namespace dandelionstand::load;
+using namespace dandelionstand::common;
 using dandelionstand::common::Duration;
 using namespace std::chrono_literals;
 
@@ -17,7 +17,7 @@
 
 } // namespace
 
-TEST_CASE("Quantiles are exact to the width of a bin", "[load][histogram]")
+TEST_CASE("Quantiles are exact to the width of a bin", "[common][histogram]")
 {
   LatencyHistogram histogram;
   for (int us = 1; us <= 10'000; ++us) {
@@ -30,7 +30,7 @@
   CHECK(histogram.Count() == 10'000);
 }
 
-TEST_CASE("Latencies outside the axis are counted at its ends", "[load][histogram]")
+TEST_CASE("Latencies outside the axis are counted at its ends", "[common][histogram]")
 {
   LatencyHistogram histogram;
   histogram.Add(Duration(0));
@@ -39,12 +39,12 @@
   CHECK(histogram.Max() == 200s);
 }
 
-TEST_CASE("An empty histogram has only zero quantiles", "[load][histogram]")
+TEST_CASE("An empty histogram has only zero quantiles", "[common][histogram]")
 {
   CHECK(LatencyHistogram().Quantile(0.99) == 0us);
 }
 
-TEST_CASE("Appending adds up counts and keeps the larger maximum", "[load][histogram]")
+TEST_CASE("Appending adds up counts and keeps the larger maximum", "[common][histogram]")
 {
   LatencyHistogram slow;
   slow.Add(80ms);
--- /dev/null
+++ b/tests/integration/PlatformLogTests.cpp
@@ -0,0 +1,99 @@
+#include "tests/integration/PlatformSite.h"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+using namespace dandelionstand;
+using namespace dandelionstand::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+//! A pipe with a name, whose reader reads only when told.
+class NamedPipe
+{
+public:
+  explicit NamedPipe(std::filesystem::path aPath)
+    : path_(std::move(aPath))
+  {
+    REQUIRE(mkfifo(path_.c_str(), 0600) == 0);
+    // Open for both ways, so that the writer does not wait for a reader.
+    descriptor_ = open(path_.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+    REQUIRE(descriptor_ >= 0);
+  }
+  ~NamedPipe() { close(descriptor_); }
+  NamedPipe(const NamedPipe&) = delete;
+  NamedPipe& operator=(const NamedPipe&) = delete;
+
+  const std::filesystem::path& Path() const { return path_; }
+  std::string ReadAll() const
+  {
+    constexpr std::size_t kSize = 64UL * 1024;
+    std::string all;
+    std::string part(kSize, '\0');
+    for (ssize_t size = 0; (size = read(descriptor_, part.data(), part.size())) > 0;) {
+      all.append(part, 0, static_cast<std::size_t>(size));
+    }
+    return all;
+  }
+
+private:
+  std::filesystem::path path_;
+  int descriptor_ = -1;
+};
+
+std::string MetricLine(const PlatformMachine& aMachine, const std::string& aName)
+{
+  const std::string text = "\n" + HttpGet(aMachine.admin_, "/metrics", {}).body_;
+  const auto at = text.find("\n" + aName);
+  return at == std::string::npos ? "" : text.substr(at + 1, text.find('\n', at + 1) - at - 1);
+}
+
+} // namespace
+
+TEST_CASE("A reader of the log that stops reading neither stops nor slows a daemon",
+          "[integration][site][logs]")
+{
+  PlatformSite site;
+  REQUIRE(site.WaitUntilServing());
+  site[0].daemon_->Kill();
+  const NamedPipe pipe(site.Folder() / "full");
+  site.StartDaemon(site[0], pipe.Path());
+  REQUIRE(site.WaitUntilServing());
+  // Each request leaves a line of some 250 bytes; the pipe takes 64 KiB, the daemon keeps 256 KiB.
+  constexpr int kRequests = 2'000;
+  std::chrono::steady_clock::duration longest{ 0 };
+  for (int request = 0; request < kRequests; ++request) {
+    const auto begin = std::chrono::steady_clock::now();
+    REQUIRE(Ask(site[0], "full-" + std::to_string(request)).status_ == 200);
+    longest = std::max(longest, std::chrono::steady_clock::now() - begin);
+  }
+  CHECK(longest < 1s);
+  std::string log;
+  CHECK(WaitUntil(
+    [&] {
+      log += pipe.ReadAll();
+      return log.find("event=log_lines_left_out") != std::string::npos;
+    },
+    10s));
+}
+
+TEST_CASE("Metrics tell latencies by kind and outcome, and the state of the daemon",
+          "[integration][site][metrics]")
+{
+  PlatformSite site;
+  REQUIRE(site.WaitUntilServing());
+  for (int request = 0; request < 20; ++request) {
+    REQUIRE(Ask(site[0], "metric-" + std::to_string(request)).status_ == 200);
+  }
+  const std::string answered = "{kind=\"browse\",outcome=\"answered\"}";
+  CHECK(MetricLine(site[0], "dandelion_caller_request_seconds_count" + answered) != "");
+  CHECK(MetricLine(site[0], "dandelion_caller_added_seconds_bucket{le=\"+Inf\"}") != "");
+  CHECK(MetricLine(site[0], "dandelion_target_slots ") == "dandelion_target_slots 4");
+  CHECK(MetricLine(site[0], "dandelion_members_live ") == "dandelion_members_live 3");
+  CHECK(MetricLine(site[0], "dandelion_config_version ") == "dandelion_config_version 1");
+  CHECK(MetricLine(site[0], "dandelion_caller_retries_left{service=\"one\"}") != "");
+}
--- a/tests/integration/PlatformSite.cpp
+++ b/tests/integration/PlatformSite.cpp
@@ -120,10 +120,13 @@
 
 void PlatformSite::StartDaemon(PlatformMachine& aMachine)
 {
-  aMachine.daemon_ =
-    std::make_unique<Process>("dandelion-daemon",
-                              std::vector<std::string>{ "--settings", aMachine.settings_ },
-                              folder_.Path() / (aMachine.name_ + ".daemon"));
+  StartDaemon(aMachine, folder_.Path() / (aMachine.name_ + ".daemon"));
+}
+
+void PlatformSite::StartDaemon(PlatformMachine& aMachine, const std::filesystem::path& aLog)
+{
+  aMachine.daemon_ = std::make_unique<Process>(
+    "dandelion-daemon", std::vector<std::string>{ "--settings", aMachine.settings_ }, aLog);
 }
 
 void PlatformSite::StartEndpoint(PlatformMachine& aMachine)
--- a/tests/integration/PlatformSite.h
+++ b/tests/integration/PlatformSite.h
@@ -48,6 +48,9 @@
   const common::Address& Store() const { return store_; }
 
   void StartDaemon(PlatformMachine& aMachine);
+  //! Starts it with its log going to a file or pipe of the test's.
+  void StartDaemon(PlatformMachine& aMachine, const std::filesystem::path& aLog);
+  const std::filesystem::path& Folder() const { return folder_.Path(); }
   void StartEndpoint(PlatformMachine& aMachine);
   //! Writes a configuration in which the route /x/ leads to aService.
   void Publish(std::uint64_t aVersion, const std::string& aService);
