Give daemons that restart beside warm endpoints their share at once; one policy for the platform

Cause: the picker took a daemon's start for a cold endpoint and let it have a growing share of the work over 5 s, so each step of a rolling restart pushed a domain's work across borders. The target side admits by its own measure.

CallPlan holds the CallPolicy instead of a copy of its fields; constants of the users' platform moved from Daemon.cpp to PlatformPolicy. Test: caller "Without a slow start a daemon that restarted beside a warm endpoint...".

--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -288,7 +288,7 @@
   } else {
     ++firstTries_;
     const common::Duration left = CallDeadline() - aNow;
-    const bool mayHaveNext = plan_.keepsTimeForRetry_ &&
+    const bool mayHaveNext = plan_.policy_.keepsTimeForRetry_ &&
                              plan_.idempotency_ == Idempotency::kIdempotent &&
                              firstTries_ < plan_.attempts_;
     // Half of the time is kept for an attempt elsewhere.
@@ -333,15 +333,16 @@
     aFailed.runState_ == RunState::kNotRun || plan_.idempotency_ == Idempotency::kIdempotent;
   const bool hasReached = HasReachedEndpoint(aFailed);
   reached_ += hasReached ? 1 : 0;
-  if (!isSafe || aFailed.deep_ || aNow + plan_.leastTimeForRetry_ >= CallDeadline()) {
+  if (!isSafe || aFailed.deep_ || aNow + plan_.policy_.leastTimeForRetry_ >= CallDeadline()) {
     return false;
   }
   if (firstTries_ >= Tries() || reached_ >= plan_.attempts_ || !picker_.HasOther(tried_)) {
     return false;
   }
-  const bool isFree = IsFreeToRetry(aFailed.reason_) || (!hasReached && !plan_.paysForRefusals_);
+  const bool isFree =
+    IsFreeToRetry(aFailed.reason_) || (!hasReached && !plan_.policy_.paysForRefusals_);
   // A request that ran has made its calls, and makes them again when it runs once more.
-  const std::uint32_t cost = aFailed.runState_ == RunState::kNotRun ? 1 : plan_.rerunCost_;
+  const std::uint32_t cost = aFailed.runState_ == RunState::kNotRun ? 1 : plan_.policy_.rerunCost_;
   return isFree || budget_.Spend(aNow, cost);
 }
 
@@ -352,7 +353,7 @@
 
 std::uint64_t CallMachine::Window() const
 {
-  return std::max<std::uint64_t>(kWindowBytes, plan_.heldBytes_ + kHeldMargin);
+  return std::max<std::uint64_t>(kWindowBytes, plan_.policy_.heldBytes_ + kHeldMargin);
 }
 
 void CallMachine::GiveUp(const AttemptFailed& aFailed, CallActions& aActions)
@@ -394,7 +395,7 @@
 bool CallMachine::IsRetriedStatus(const AttemptHead& aHead) const
 {
   // A target that ran out of time would do so elsewhere.
-  const bool isFailure = plan_.retriesServerErrors_
+  const bool isFailure = plan_.policy_.retriesServerErrors_
                            ? aHead.status_ >= kFirstServerError && aHead.status_ != kGatewayTimeout
                            : aHead.status_ == kServiceUnavailable;
   return plan_.idempotency_ == Idempotency::kIdempotent && isFailure &&
@@ -413,7 +414,7 @@
     return;
   }
   held_ += aData;
-  if (held_.size() > plan_.heldBytes_) {
+  if (held_.size() > plan_.policy_.heldBytes_) {
     FlushHeld(aActions);
   }
 }
--- a/src/dandelionstand/caller/CallTypes.h
+++ b/src/dandelionstand/caller/CallTypes.h
@@ -1,6 +1,7 @@
 #ifndef dandelionstand_caller_CallTypes_h
 #define dandelionstand_caller_CallTypes_h
 
+#include "dandelionstand/caller/CallPolicy.h"
 #include "dandelionstand/caller/EndpointPicker.h"
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
@@ -39,20 +40,9 @@
   std::uint32_t attempts_ = 3;
   //! Tries in all, with those that a daemon refused before the endpoint. 0: as many as attempts_.
   std::uint32_t tries_ = 0;
-  //! Whether a try after a daemon's refusal takes from the retry budget, as others do.
-  bool paysForRefusals_ = true;
-  //! With less time left no other endpoint is tried: it could not answer any more.
-  common::Duration leastTimeForRetry_{ 0 };
-  //! What a second run takes from the retry budget: its calls are made again, and count too.
-  std::uint32_t rerunCost_ = 1;
-  //! Whether half of the time is kept for an attempt elsewhere.
-  bool keepsTimeForRetry_ = true;
-  //! Whether a failure that the endpoint answers is tried elsewhere, if it may be repeated.
-  bool retriesServerErrors_ = false;
-  //! Bytes of an answer that are held back until it is whole, so that it can be had elsewhere.
-  std::size_t heldBytes_ = 64UL * 1024;
   //! GET without a Range header of the caller's own.
   bool mayContinue_ = false;
+  CallPolicy policy_;
 };
 
 //! Where a broken download goes on.
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -67,6 +67,7 @@
   PickerSettings settings;
   settings.failureDomain_ = aSettings.failureDomain_;
   settings.region_ = aSettings.region_;
+  settings.slowStart_ = aSettings.policy_.slowStart_;
   return settings;
 }
 
@@ -378,6 +379,7 @@
   const bool hasRange = !FindHeader(aRequest.headers_, "Range").empty();
   const CallPolicy& policy = settings_.policy_;
   CallPlan plan;
+  plan.policy_ = policy;
   plan.route_ = aCallRoute.name_;
   plan.idempotency_ = route.idempotency_;
   plan.headDeadline_ = now + route.timeout_;
@@ -389,18 +391,12 @@
   plan.idleLimit_ = std::min(route.timeout_, kMostIdle);
   plan.attempts_ = std::max(1U, route.attempts_);
   plan.tries_ = plan.attempts_ + policy.extraTries_;
-  plan.paysForRefusals_ = policy.paysForRefusals_;
   if (policy.hasObjectives_) {
     const common::Duration age = aRequest.timeLeft_
                                    ? ages_.AgeOf(aCallRoute.name_, *aRequest.timeLeft_, now)
                                    : common::Duration(0);
     plan.objective_ = now + route.objective_ - age;
   }
-  plan.rerunCost_ = policy.rerunCost_;
-  plan.leastTimeForRetry_ = policy.leastTimeForRetry_;
-  plan.keepsTimeForRetry_ = policy.keepsTimeForRetry_;
-  plan.retriesServerErrors_ = policy.retriesServerErrors_;
-  plan.heldBytes_ = policy.heldBytes_;
   if (route.idempotency_ != config::Idempotency::kIdempotent) {
     // The route's limit is on attempts that may run; refusals that did not run come on top.
     plan.tries_ = std::max(plan.tries_, kTriesUntilRun);
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -2,6 +2,7 @@
 #define dandelionstand_caller_CallerServer_h
 
 #include "dandelionstand/caller/ActiveCall.h"
+#include "dandelionstand/caller/CallPolicy.h"
 #include "dandelionstand/caller/CallerAges.h"
 #include "dandelionstand/caller/DrainAdmission.h"
 #include "dandelionstand/caller/KeyedOrders.h"
@@ -32,24 +33,6 @@
 
 namespace dandelionstand::caller {
 
-//! How calls are tried, besides what their route says.
-struct CallPolicy
-{
-  //! Tries of a request besides those that reached an endpoint.
-  std::uint32_t extraTries_ = 0;
-  bool paysForRefusals_ = true;             //!< See CallPlan.
-  std::uint32_t rerunCost_ = 1;             //!< See CallPlan.
-  common::Duration leastTimeForRetry_{ 0 }; //!< See CallPlan.
-  //! An answer of our own leaves this much before the caller's time ends, so that it arrives, and
-  //! those that wait behind it on the connection do.
-  common::Duration callerMargin_{ 0 };
-  bool keepsTimeForRetry_ = true;    //!< See CallPlan.
-  bool retriesServerErrors_ = false; //!< See CallPlan.
-  bool hasObjectives_ = false;       //!< Whether the objectives of routes decide who waits.
-  bool endsDownloadsInTime_ = false; //!< Whether a route's limit holds for whole downloads.
-  std::size_t heldBytes_ = 64UL * 1024;
-};
-
 struct CallerServerSettings
 {
   common::Address listen_;
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/config/Document.h"
 #include "dandelionstand/daemon/DocumentConfig.h"
+#include "dandelionstand/daemon/PlatformPolicy.h"
 #include "dandelionstand/daemon/PublishedConfig.h"
 #include "dandelionstand/dialect/NativeDialect.h"
 #include "dandelionstand/platform/HttpDialect.h"
@@ -44,21 +45,6 @@
 constexpr common::Duration kSettingsCheck = 2s;
 //! Lines of the log are written together, which saves a system call for each.
 constexpr common::Duration kLogFlush = 100ms;
-//! Parts of the shared budget and reserve that are used. The rest covers what one daemon does not
-//! see: the retries of requests that its own retries caused deeper in a chain.
-constexpr double kUsedRetryShare = 0.5;
-constexpr double kUsedRetryReserve = 0.6;
-//! The way to another region and back, and the shortest work of the sites, 30 ms.
-constexpr common::Duration kLeastTimeForRetry = 55ms;
-//! Clients are up to 8 ms away, and answers wait for the processor.
-constexpr common::Duration kCallerMargin = 40ms;
-//! An endpoint that breaks off fails all that it works on, 18 requests on the sites.
-constexpr double kRetryBurst = 40;
-//! A request makes up to two calls, and each of them may be tried again.
-constexpr std::uint32_t kRerunCost = 2;
-//! Answers up to this size can be had from another endpoint when one breaks off. It covers the
-//! largest downloads of the sites, at 16 MiB for 16 of them at a time.
-constexpr std::size_t kHeldBytes = 1024UL * 1024;
 
 platform::HttpLogSettings LogSettingsOf(const Settings& aSettings)
 {
@@ -95,36 +81,12 @@
 
 peer::MembershipSettings MembershipSettingsOf(const Settings& aSettings)
 {
-  peer::MembershipSettings membership;
+  peer::MembershipSettings membership =
+    aSettings.platform_ ? PlatformMembership() : peer::MembershipSettings{};
   membership.seeds_ = aSettings.peers_.seeds_;
-  if (aSettings.platform_) {
-    // Failure domains of a few instances: rounds are cheap, and endpoints that start or leave
-    // have to be known within a second or two.
-    membership.digestInterval_ = 1s;
-    membership.contactInterval_ = 1s;
-    membership.joinRetryMost_ = 2s;
-  }
   return membership;
 }
 
-caller::CallPolicy CallPolicyOf(const Settings& aSettings)
-{
-  caller::CallPolicy policy;
-  if (aSettings.platform_) {
-    policy.extraTries_ = 2;
-    policy.paysForRefusals_ = false;
-    policy.rerunCost_ = kRerunCost;
-    policy.leastTimeForRetry_ = kLeastTimeForRetry;
-    policy.callerMargin_ = kCallerMargin;
-    policy.keepsTimeForRetry_ = false;
-    policy.retriesServerErrors_ = true;
-    policy.hasObjectives_ = true;
-    policy.endsDownloadsInTime_ = true;
-    policy.heldBytes_ = kHeldBytes;
-  }
-  return policy;
-}
-
 std::unique_ptr<dialect::CallerDialect> MakeCallerDialect(const Settings& aSettings)
 {
   if (aSettings.platform_) {
@@ -176,7 +138,7 @@
            .failureDomain_ = aSettings.failureDomain_,
            .region_ = aSettings.region_,
            .seed_ = aIncarnation.Get(),
-           .policy_ = CallPolicyOf(aSettings) };
+           .policy_ = aSettings.platform_ ? PlatformCallPolicy() : caller::CallPolicy{} };
 }
 
 } // namespace
@@ -390,15 +352,7 @@
     return;
   }
   const auto live = LiveCount(membership_.State().All());
-  const platform::PlatformBounds& bounds = settings_.platform_->bounds_;
-  caller::RetryBudgetSettings budget;
-  budget.share_ = bounds.retryShare_ * kUsedRetryShare;
-  budget.reserve_ = bounds.retryReserve_ * kUsedRetryReserve /
-                    static_cast<double>(std::max<std::ptrdiff_t>(1, live));
-  budget.window_ = bounds.retryWindow_;
-  budget.burst_ = kRetryBurst;
-  budget.reserveAfter_ = bounds.retryWindow_;
-  callerServer_.SetRetryBudget(budget);
+  callerServer_.SetRetryBudget(PlatformRetryBudget(settings_.platform_->bounds_, live));
 }
 
 void Daemon::Reload(const char* aCause)
--- /dev/null
+++ b/src/dandelionstand/daemon/PlatformPolicy.cpp
@@ -0,0 +1,71 @@
+#include "dandelionstand/daemon/PlatformPolicy.h"
+
+#include <algorithm>
+
+namespace dandelionstand::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+//! Parts of the shared budget and reserve that are used. The rest covers what one daemon does not
+//! see: the retries of requests that its own retries caused deeper in a chain.
+constexpr double kUsedRetryShare = 0.5;
+constexpr double kUsedRetryReserve = 0.6;
+//! The way to another region and back, and the shortest work of the sites, 30 ms.
+constexpr common::Duration kLeastTimeForRetry = 55ms;
+//! Clients are up to 8 ms away, and answers wait for the processor.
+constexpr common::Duration kCallerMargin = 40ms;
+//! An endpoint that breaks off fails all that it works on, 18 requests on the sites.
+constexpr double kRetryBurst = 40;
+//! A request makes up to two calls, and each of them may be tried again.
+constexpr std::uint32_t kRerunCost = 2;
+//! Answers up to this size can be had from another endpoint when one breaks off. It covers the
+//! largest downloads of the sites, at 16 MiB for 16 of them at a time.
+constexpr std::size_t kHeldBytes = 1024UL * 1024;
+
+} // namespace
+
+caller::CallPolicy PlatformCallPolicy()
+{
+  caller::CallPolicy policy;
+  policy.extraTries_ = 2;
+  policy.paysForRefusals_ = false;
+  policy.rerunCost_ = kRerunCost;
+  policy.leastTimeForRetry_ = kLeastTimeForRetry;
+  policy.callerMargin_ = kCallerMargin;
+  policy.keepsTimeForRetry_ = false;
+  policy.retriesServerErrors_ = true;
+  policy.hasObjectives_ = true;
+  policy.endsDownloadsInTime_ = true;
+  policy.heldBytes_ = kHeldBytes;
+  // The target side admits by its own measure, and daemons restart beside endpoints that stay warm.
+  policy.slowStart_ = {};
+  return policy;
+}
+
+caller::RetryBudgetSettings PlatformRetryBudget(const platform::PlatformBounds& aBounds,
+                                                std::ptrdiff_t aLiveDaemons)
+{
+  caller::RetryBudgetSettings budget;
+  budget.share_ = aBounds.retryShare_ * kUsedRetryShare;
+  budget.reserve_ = aBounds.retryReserve_ * kUsedRetryReserve /
+                    static_cast<double>(std::max<std::ptrdiff_t>(1, aLiveDaemons));
+  budget.window_ = aBounds.retryWindow_;
+  budget.burst_ = kRetryBurst;
+  budget.reserveAfter_ = aBounds.retryWindow_;
+  return budget;
+}
+
+peer::MembershipSettings PlatformMembership()
+{
+  // Failure domains of a few instances: rounds are cheap, and endpoints that start or leave have to
+  // be known within a second or two.
+  peer::MembershipSettings membership;
+  membership.digestInterval_ = 1s;
+  membership.contactInterval_ = 1s;
+  membership.joinRetryMost_ = 2s;
+  return membership;
+}
+
+} // namespace dandelionstand::daemon
--- a/tests/caller/EndpointPickerTests.cpp
+++ b/tests/caller/EndpointPickerTests.cpp
@@ -228,3 +228,26 @@
   }
   CHECK(PickName(picker, kStart + 20s) == "near");
 }
+
+TEST_CASE(
+  "Without a slow start a daemon that restarted beside a warm endpoint has its share at once",
+  "[caller][picker][replay]")
+{
+  // A rolling restart: the near daemon is new, the load on it is the usual one.
+  const auto pick = [](common::Duration aSlowStart) {
+    PickerSettings settings;
+    settings.failureDomain_ = common::FailureDomain("d1");
+    settings.region_ = common::Region("r1");
+    settings.slowStart_ = aSlowStart;
+    EndpointPicker picker(settings, kSeed);
+    picker.SetEndpoints(kTwoDomains, kStart);
+    for (const char* name : { "near", "middle" }) {
+      picker.Reported(common::InstanceId(name), kRoute, { 4, 0, 18, 200ms }, kStart);
+    }
+    picker.SetEndpoints({ MakeEndpoint("near", "d1", "r1", 2), kTwoDomains[1] }, kStart + 10s);
+    picker.Reported(common::InstanceId("near"), kRoute, { 4, 0, 18, 200ms }, kStart + 10s);
+    return PickName(picker, kStart + 10s);
+  };
+  CHECK(pick(5s) == "middle");
+  CHECK(pick(0s) == "near");
+}
