Try no other endpoint where none can answer in time

Now a further try needs the least usual time that is known of the endpoints that are left. Ruled out: a fixed least time (work times differ by 10 between routes). Test: caller "An endpoint's failure is passed on at once where no other endpoint can answer in time" (red before).

--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -333,10 +333,14 @@
     aFailed.runState_ == RunState::kNotRun || plan_.idempotency_ == Idempotency::kIdempotent;
   const bool hasReached = HasReachedEndpoint(aFailed);
   reached_ += hasReached ? 1 : 0;
-  if (!isSafe || aFailed.deep_ || aNow + plan_.policy_.leastTimeForRetry_ >= CallDeadline()) {
+  if (!isSafe || aFailed.deep_ || firstTries_ >= Tries() || reached_ >= plan_.attempts_ ||
+      !picker_.HasOther(tried_)) {
     return false;
   }
-  if (firstTries_ >= Tries() || reached_ >= plan_.attempts_ || !picker_.HasOther(tried_)) {
+  // An endpoint that cannot answer in time would refuse, and what is known would be told later.
+  const common::Duration least =
+    std::max(plan_.policy_.leastTimeForRetry_, picker_.LeastTime(tried_, plan_.route_, aNow));
+  if (least >= CallDeadline() - aNow) {
     return false;
   }
   const bool isFree =
--- a/src/dandelionstand/caller/EndpointPicker.cpp
+++ b/src/dandelionstand/caller/EndpointPicker.cpp
@@ -92,6 +92,19 @@
   });
 }
 
+common::Duration EndpointPicker::LeastTime(const std::vector<common::InstanceId>& aTried,
+                                           const config::RouteName& aRoute,
+                                           common::TimePoint aNow) const
+{
+  common::Duration least = common::Duration::max();
+  for (const auto& [instance, entry] : entries_) {
+    if (!Contains(aTried, instance)) {
+      least = std::min(least, entry.times_.TimeOf(aRoute, aNow).value_or(common::Duration(0)));
+    }
+  }
+  return least;
+}
+
 void EndpointPicker::Started(const common::InstanceId& aInstance, common::TimePoint aNow)
 {
   const auto found = entries_.find(aInstance);
--- a/src/dandelionstand/caller/EndpointPicker.h
+++ b/src/dandelionstand/caller/EndpointPicker.h
@@ -107,6 +107,11 @@
                 const config::RouteName& aRoute,
                 ReportedLoad aLoad,
                 common::TimePoint aNow);
+  //! Least usual time that an endpoint which is not among aTried takes for the route; 0 if one of
+  //! them is unknown.
+  common::Duration LeastTime(const std::vector<common::InstanceId>& aTried,
+                             const config::RouteName& aRoute,
+                             common::TimePoint aNow) const;
   //! Length of a whole answer.
   void AnswerSize(const config::RouteName& aRoute, std::uint64_t aBytes);
   void Ended(const common::InstanceId& aInstance, AttemptResult aResult, common::TimePoint aNow);
--- a/tests/caller/CallMachineTests.cpp
+++ b/tests/caller/CallMachineTests.cpp
@@ -1,4 +1,7 @@
 #include "CallSession.h"
+#include "dandelionstand/caller/BodyCheck.h"
+#include "dandelionstand/caller/CallMachine.h"
+#include "dandelionstand/caller/RetryBudget.h"
 
 #include <catch2/catch.hpp>
 
@@ -50,3 +53,51 @@
   CheckSession("slow_caller");
   CheckSession("caller_gone");
 }
+
+namespace {
+
+const dandelionstand::config::RouteName kRoute("browse");
+constexpr dandelionstand::common::TimePoint kBegin{ std::chrono::hours(1) };
+
+//! Lets an endpoint fail a request of 1.5 s after aTime, where the other one takes 300 ms.
+CallActions FailAfter(dandelionstand::common::Duration aTime)
+{
+  using namespace dandelionstand;
+  using namespace std::chrono_literals;
+  EndpointPicker picker({}, 1);
+  std::vector<Endpoint> endpoints;
+  for (const char* name : { "a", "b" }) {
+    endpoints.push_back(
+      { common::InstanceId(name), common::Incarnation(1), common::Address(name), {}, {} });
+  }
+  picker.SetEndpoints(endpoints, kBegin - 1min);
+  for (const Endpoint& endpoint : endpoints) {
+    picker.Reported(endpoint.instance_, kRoute, { 0, 0, 8, 300ms }, kBegin);
+  }
+  RetryBudget budget{ RetryBudgetSettings{} };
+  CallPlan plan;
+  plan.route_ = kRoute;
+  plan.idempotency_ = config::Idempotency::kIdempotent;
+  plan.headDeadline_ = kBegin + 1'500ms;
+  plan.endDeadline_ = plan.headDeadline_;
+  plan.policy_.keepsTimeForRetry_ = false;
+  plan.policy_.retriesServerErrors_ = true;
+  CallMachine machine(plan, picker, budget);
+  machine.Begin(kBegin);
+  machine.OnHead(1, { 500, {} }, kBegin + aTime);
+  return machine.OnEnd(1, { 0, ChecksumOf("") }, kBegin + aTime);
+}
+
+} // namespace
+
+TEST_CASE("An endpoint's failure is passed on at once where no other endpoint can answer in time",
+          "[caller][call][replay]")
+{
+  using namespace std::chrono_literals;
+  const CallActions early = FailAfter(500ms);
+  REQUIRE(early.size() == 1);
+  CHECK(std::holds_alternative<SendAttempt>(early.front()));
+  const CallActions late = FailAfter(1'300ms);
+  REQUIRE(late.size() == 2);
+  CHECK(std::get<SendHead>(late.front()).status_ == 500);
+}
