Find peers by the platform's seeds while the store is away

The seeds that the settings name were not used: they are other machines' control addresses, given only to a role that serves control.

Now the role serves control, and the seeds' machines are asked at the port of the peers.

--- a/src/dandelionstand/caller/EndpointTimes.cpp
+++ b/src/dandelionstand/caller/EndpointTimes.cpp
@@ -42,10 +42,10 @@
   return found->second.time_;
 }
 
-void EndpointTimes::NoteOutcome(bool isFailure, common::TimePoint aNow)
+void EndpointTimes::NoteOutcome(bool aIsFailure, common::TimePoint aNow)
 {
   const double share = FailureShare(aNow);
-  failureShare_ = share + kOutcomeWeight * ((isFailure ? 1.0 : 0.0) - share);
+  failureShare_ = share + kOutcomeWeight * ((aIsFailure ? 1.0 : 0.0) - share);
   outcomeAt_ = aNow;
 }
 
--- a/src/dandelionstand/caller/EndpointTimes.h
+++ b/src/dandelionstand/caller/EndpointTimes.h
@@ -19,7 +19,7 @@
   std::optional<common::Duration> TimeOf(const config::RouteName& aRoute,
                                          common::TimePoint aNow) const;
 
-  void NoteOutcome(bool isFailure, common::TimePoint aNow);
+  void NoteOutcome(bool aIsFailure, common::TimePoint aNow);
   //! Share of the recent attempts that failed; falls off while none is made.
   double FailureShare(common::TimePoint aNow) const;
 
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -84,6 +84,12 @@
   peer::MembershipSettings membership =
     aSettings.platform_ ? PlatformMembership() : peer::MembershipSettings{};
   membership.seeds_ = aSettings.peers_.seeds_;
+  if (aSettings.platform_) {
+    for (const common::Address& peer :
+         PeersAt(aSettings.platform_->seeds_, aSettings.peers_.advertise_)) {
+      membership.seeds_.push_back(peer);
+    }
+  }
   return membership;
 }
 
--- a/src/dandelionstand/daemon/PlatformPolicy.cpp
+++ b/src/dandelionstand/daemon/PlatformPolicy.cpp
@@ -1,6 +1,9 @@
 #include "dandelionstand/daemon/PlatformPolicy.h"
 
+#include "dandelionstand/common/HttpServer.h"
+
 #include <algorithm>
+#include <string>
 
 namespace dandelionstand::daemon {
 
@@ -65,7 +68,24 @@
   membership.digestInterval_ = 1s;
   membership.contactInterval_ = 1s;
   membership.joinRetryMost_ = 2s;
+  // After a loss of power everywhere the seeds have only just started too.
+  membership.readsRecordsAtOnce_ = true;
   return membership;
 }
 
+std::vector<common::Address> PeersAt(const std::vector<common::Address>& aMachines,
+                                     const common::Address& aOwn)
+{
+  common::HostAndPort own;
+  common::ParseAddress(aOwn.Get(), own);
+  std::vector<common::Address> peers;
+  for (const common::Address& address : aMachines) {
+    common::HostAndPort machine;
+    if (common::ParseAddress(address.Get(), machine) && machine.host_ != own.host_) {
+      peers.emplace_back(machine.host_ + ":" + std::to_string(own.port_));
+    }
+  }
+  return peers;
+}
+
 } // namespace dandelionstand::daemon
--- a/src/dandelionstand/daemon/PlatformPolicy.h
+++ b/src/dandelionstand/daemon/PlatformPolicy.h
@@ -7,6 +7,7 @@
 #include "dandelionstand/platform/PlatformBounds.h"
 
 #include <cstddef>
+#include <vector>
 
 namespace dandelionstand::daemon {
 
@@ -20,6 +21,11 @@
 //! Intervals of membership on the users' platform; the seeds are left empty.
 peer::MembershipSettings PlatformMembership();
 
+//! Where the daemons of other machines listen for their peers, from any address of each machine.
+//! Ports are the same on all machines, so they are those of aOwn, which is left out itself.
+std::vector<common::Address> PeersAt(const std::vector<common::Address>& aMachines,
+                                     const common::Address& aOwn);
+
 } // namespace dandelionstand::daemon
 
 #endif // dandelionstand_daemon_PlatformPolicy_h
--- a/src/dandelionstand/daemon/Settings.cpp
+++ b/src/dandelionstand/daemon/Settings.cpp
@@ -107,6 +107,7 @@
   platform.service_ = common::ServiceName(aReader.RequiredString("service"));
   platform.controlListen_ = RequiredAddress(aReader, "control_listen");
   platform.readinessListen_ = RequiredAddress(aReader, "readiness_listen");
+  platform.seeds_ = ReadSeeds(aReader);
   platform.bounds_ = platform::ParseBounds(aReader.Strings("bounds"), aFindings);
   aReader.RejectUnknownKeys();
   return platform;
--- a/src/dandelionstand/daemon/Settings.h
+++ b/src/dandelionstand/daemon/Settings.h
@@ -48,6 +48,8 @@
   common::ServiceName service_;     //!< Of the endpoint beside the daemon.
   common::Address controlListen_;   //!< For what the endpoint says of itself.
   common::Address readinessListen_; //!< Where the platform asks whether clients may come.
+  //! Addresses on a few other machines, which may be out of date; see PeersAt.
+  std::vector<common::Address> seeds_;
   platform::PlatformBounds bounds_;
 };
 
--- a/src/dandelionstand/peer/Membership.h
+++ b/src/dandelionstand/peer/Membership.h
@@ -17,6 +17,8 @@
 struct MembershipSettings
 {
   std::vector<common::Address> seeds_;
+  //! Whether the join records are read beside the first try of the seeds, which may know as little.
+  bool readsRecordsAtOnce_ = false;
   ProberSettings prober_;
   common::Duration gossipInterval_ = std::chrono::milliseconds(200);
   common::Duration digestInterval_ = std::chrono::seconds(5);
--- a/src/dandelionstand/peer/MembershipSending.cpp
+++ b/src/dandelionstand/peer/MembershipSending.cpp
@@ -38,7 +38,7 @@
   for (const common::Address& seed : seeds) {
     Send(seed, Greeting(wire::JOIN));
   }
-  if (!isFirstTry || seeds.empty()) {
+  if (!isFirstTry || seeds.empty() || settings_.readsRecordsAtOnce_) {
     actions_.push_back(ReadJoinRecords{});
   }
 }
--- a/tests/peer/MembershipTests.cpp
+++ b/tests/peer/MembershipTests.cpp
@@ -159,3 +159,27 @@
   CHECK(bus.StatusOf("r0d0i1", "r0d0i2") == peer::MemberStatus::kDead);
   CHECK(bus.RunUntil([&] { return bus.IsSettled(); }, 12s));
 }
+
+TEST_CASE("Join records are read beside the first try of the seeds where that is set",
+          "[membership]")
+{
+  peer::Member self;
+  self.instance_ = common::InstanceId("self");
+  self.incarnation_ = common::Incarnation(1);
+  self.address_ = common::Address("self");
+  const bool readsAtOnce = GENERATE(false, true);
+  peer::MembershipSettings settings;
+  settings.seeds_ = { common::Address("seed") };
+  settings.readsRecordsAtOnce_ = readsAtOnce;
+  const common::TimePoint start{ 1s };
+  peer::Membership membership(self, settings, start, std::mt19937_64(1));
+  const peer::MembershipActions actions = membership.Handle(peer::MembershipTick{}, start);
+  const auto holds = [&](auto aIsWanted) {
+    return std::any_of(actions.begin(), actions.end(), aIsWanted);
+  };
+  CHECK(
+    holds([](const auto& aAction) { return std::holds_alternative<peer::SendUpdate>(aAction); }));
+  CHECK(holds([](const auto& aAction) {
+          return std::holds_alternative<peer::ReadJoinRecords>(aAction);
+        }) == readsAtOnce);
+}
