--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -58,7 +58,7 @@
 } // namespace
 
 CallMachine::CallMachine(CallPlan aPlan, EndpointPicker& aPicker, RetryBudget& aBudget)
-  : plan_(aPlan)
+  : plan_(std::move(aPlan))
   , picker_(aPicker)
   , budget_(aBudget)
 {
