One conversion of times that are left to milliseconds, in place of three; an accessor that nothing called is gone

Behaviour is the same. Run: caller, daemon, target and platform tests, format, lint of the five files.

--- a/src/dandelionstand/caller/ActiveCall.cpp
+++ b/src/dandelionstand/caller/ActiveCall.cpp
@@ -4,6 +4,7 @@
 #include "dandelionstand/common/Counters.h"
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/common/Milliseconds.h"
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/peer/generated/envelope.pb.h"
 
@@ -13,12 +14,6 @@
 
 namespace {
 
-std::uint64_t MillisecondsOf(common::Duration aDuration)
-{
-  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
-  return count < 0 ? 0 : static_cast<std::uint64_t>(count);
-}
-
 peer::PeerRef RefOf(const Endpoint& aEndpoint)
 {
   return { aEndpoint.address_, "" };
@@ -140,7 +135,7 @@
       { { "request", request_.id_ },
         { "attempt", aAttempt.attempt_ },
         { "cause", aAttempt.cause_ },
-        { "time_left_ms", MillisecondsOf(aAttempt.timeLeft_) },
+        { "time_left_ms", common::ToMilliseconds(aAttempt.timeLeft_) },
         { "version", route_.version_.Get() },
         { "peer", aAttempt.endpoint_.instance_.Get() },
         { "from_byte", aAttempt.continuation_ ? aAttempt.continuation_->offset_ : 0 } });
--- a/src/dandelionstand/caller/DrainAdmission.h
+++ b/src/dandelionstand/caller/DrainAdmission.h
@@ -25,7 +25,6 @@
   void Start(const DrainTimes& aTimes, common::TimePoint aNow);
   //! From now on nothing is taken.
   void Stop();
-  bool IsDraining() const { return isDraining_; }
   //! aDeadline is the time by which the request has its final answer.
   bool Takes(common::TimePoint aDeadline, common::TimePoint aNow) const;
 
--- a/src/dandelionstand/caller/WireCalls.cpp
+++ b/src/dandelionstand/caller/WireCalls.cpp
@@ -1,5 +1,6 @@
 #include "dandelionstand/caller/WireCalls.h"
 
+#include "dandelionstand/common/Milliseconds.h"
 #include "dandelionstand/peer/generated/call.pb.h"
 
 namespace dandelionstand::caller {
@@ -13,12 +14,6 @@
   header.set_value(aValue);
 }
 
-std::uint32_t ToMilliseconds(common::Duration aDuration)
-{
-  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
-  return count < 0 ? 0 : static_cast<std::uint32_t>(count);
-}
-
 RunState ToRunState(peer::wire::RunState aState)
 {
   switch (aState) {
@@ -54,7 +49,7 @@
   aStart.set_idempotency(static_cast<peer::wire::Idempotency>(route.idempotency_));
   aStart.set_idempotency_key(aRequest.idempotencyKey_);
   aStart.set_traffic_class(static_cast<peer::wire::TrafficClass>(route.trafficClass_));
-  aStart.set_time_left_ms(ToMilliseconds(aAttempt.timeLeft_));
+  aStart.set_time_left_ms(static_cast<std::uint32_t>(common::ToMilliseconds(aAttempt.timeLeft_)));
   aStart.set_depth(aRequest.depth_ + 1);
   aStart.set_caller_request_id(aRequest.id_);
   aStart.set_method(aRequest.method_);
@@ -64,7 +59,8 @@
   aStart.set_has_other_endpoints(aAttempt.hasOther_);
   if (aAttempt.objectiveLeft_) {
     aStart.set_has_objective(true);
-    aStart.set_objective_left_ms(ToMilliseconds(*aAttempt.objectiveLeft_));
+    aStart.set_objective_left_ms(
+      static_cast<std::uint32_t>(common::ToMilliseconds(*aAttempt.objectiveLeft_)));
   }
   aStart.set_credit_bytes(aAttempt.creditBytes_);
   for (const Header& header : aRequest.headers_) {
--- a/src/dandelionstand/dialect/NativeDialect.cpp
+++ b/src/dandelionstand/dialect/NativeDialect.cpp
@@ -1,6 +1,7 @@
 #include "dandelionstand/dialect/NativeDialect.h"
 
 #include "dandelionstand/common/HttpHeaders.h"
+#include "dandelionstand/common/Milliseconds.h"
 
 #include <charconv>
 #include <utility>
@@ -13,12 +14,6 @@
 //! Set by a target that shed the request before it did any work on it.
 constexpr const char* kShedHeader = "Dandelion-Shed";
 
-std::uint64_t ToMilliseconds(common::Duration aDuration)
-{
-  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
-  return count < 0 ? 0 : static_cast<std::uint64_t>(count);
-}
-
 } // namespace
 
 bool ParseNumber(std::string_view aText, std::uint32_t& aNumber)
@@ -79,7 +74,8 @@
                                                 const TargetCall& aCall) const
 {
   aCallerHeaders.push_back({ "Host", aCall.authority_ });
-  aCallerHeaders.push_back({ "Deadline-Ms", std::to_string(ToMilliseconds(aCall.timeLeft_)) });
+  aCallerHeaders.push_back(
+    { "Deadline-Ms", std::to_string(common::ToMilliseconds(aCall.timeLeft_)) });
   aCallerHeaders.push_back({ "Dandelion-Depth", std::to_string(aCall.depth_) });
   return aCallerHeaders;
 }
