Log which requests the slots of a target went to

Change: call_refused has route, rank and the time left to the objective; request_* lines have the client's address, the estimated age of the caller and the target's time; a target_use line every five seconds gives offered, started, late, repeated, refused and aborted attempts and the slot time by route.

--- a/src/dandelionstand/caller/ActiveCall.h
+++ b/src/dandelionstand/caller/ActiveCall.h
@@ -63,6 +63,7 @@
   const CallRoute& Route() const { return route_; }
   std::uint32_t AttemptsMade() const { return machine_.AttemptsMade(); }
   common::Duration TargetTime() const { return machine_.TargetTime(); }
+  const CallPlan& Plan() const { return machine_.Plan(); }
   //! Endpoint of the last attempt.
   const Endpoint& LastEndpoint() const { return machine_.CurrentEndpoint(); }
 
--- a/src/dandelionstand/caller/CallMachine.h
+++ b/src/dandelionstand/caller/CallMachine.h
@@ -50,6 +50,7 @@
 
   common::TimePoint NextDeadline() const;
   bool IsDone() const { return isDone_; }
+  const CallPlan& Plan() const { return plan_; }
   //! Number of the running attempt; 0 if none is running.
   std::uint32_t RunningAttempt() const { return isRunning_ ? attempt_ : 0; }
   const Endpoint& CurrentEndpoint() const { return endpoint_; }
--- a/src/dandelionstand/caller/CallTypes.h
+++ b/src/dandelionstand/caller/CallTypes.h
@@ -35,6 +35,9 @@
   //! Time of the latency objective, after which an answer loses value; nullopt if the value is the
   //! same until the deadline.
   std::optional<common::TimePoint> objective_;
+  //! Estimated time that the caller had been trying before this request; the objective counts from
+  //! its first try.
+  common::Duration callerAge_{ 0 };
   //! A download without progress for this long is cancelled and continued at another endpoint.
   common::Duration idleTimeout_ = std::chrono::seconds(2);
   //! Maximum attempts that reach an endpoint.
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -5,6 +5,7 @@
 #include "dandelionstand/common/Counters.h"
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/common/EventLoop.h"
+#include "dandelionstand/common/Milliseconds.h"
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/peer/generated/envelope.pb.h"
 
@@ -17,6 +18,8 @@
 
 namespace {
 
+using common::ToMilliseconds;
+
 constexpr std::uint32_t kBadRequest = 400;
 constexpr std::uint32_t kNotFound = 404;
 constexpr std::uint32_t kUnavailable = 503;
@@ -93,7 +96,11 @@
   }
 
   CallerConnection& Connection() { return connection_; }
-  void SetId(const std::string& aId) { id_ = aId; }
+  void SetOrigin(const CallerRequest& aRequest)
+  {
+    id_ = aRequest.id_;
+    clientHost_ = aRequest.clientHost_;
+  }
   void SetCallId(common::RequestId aCallId) { callId_ = aCallId; }
 
   void SendHead(std::uint32_t aStatus, const Headers& aHeaders) override
@@ -148,6 +155,7 @@
 
   CallerConnection connection_;
   std::string id_;
+  std::string clientHost_; //!< IP address.
   common::RequestId callId_; //!< 0 for a request without a call.
   std::uint32_t status_ = 0;
   common::TimePoint receivedAt_ = common::Now();
@@ -182,6 +190,7 @@
   common::LogEvent(aSeverity,
                    aEvent,
                    { { "request", id_ },
+                     { "client", clientHost_ },
                      { "status", status_ },
                      { "reason", aReason },
                      { "run", ToText(aRunState) },
@@ -189,6 +198,8 @@
                      { "version", call == nullptr ? version : call->Route().version_.Get() },
                      { "route", call == nullptr ? "" : call->Route().name_.Get() },
                      { "service", call == nullptr ? "" : call->Route().route_.endpoints_.Get() },
+                     { "caller_age_ms", call == nullptr ? 0 : ToMilliseconds(call->Plan().callerAge_) },
+                     { "target_ms", call == nullptr ? 0 : ToMilliseconds(call->TargetTime()) },
                      { "attempts", call == nullptr ? 0 : call->AttemptsMade() },
                      { "endpoint", call == nullptr ? "" : call->LastEndpoint().instance_.Get() } });
 }
@@ -264,7 +275,7 @@
   Exchange& added = *exchange;
   exchanges_[&added] = std::move(exchange);
   CallerRequest request = added.Connection().ReadRequest();
-  added.SetId(request.id_);
+  added.SetOrigin(request);
   Dispatch(added, std::move(request));
 }
 
@@ -394,11 +405,11 @@
   plan.attempts_ = std::max(1U, route.attempts_);
   plan.maxTotalAttempts_ = plan.attempts_ + policy.extraAttempts_;
   if (policy.hasObjectives_) {
-    const common::Duration age =
-      aRequest.remainingTime_
-        ? requestAgeEstimator_.EstimateAge(aCallRoute.name_, *aRequest.remainingTime_, now)
-        : common::Duration(0);
-    plan.objective_ = now + route.objective_ - age;
+    if (aRequest.remainingTime_) {
+      plan.callerAge_ =
+        requestAgeEstimator_.EstimateAge(aCallRoute.name_, *aRequest.remainingTime_, now);
+    }
+    plan.objective_ = now + route.objective_ - plan.callerAge_;
   }
   if (route.idempotency_ != config::Idempotency::kIdempotent) {
     // The route limits attempts that may run the request; tries refused without a run are extra.
--- a/src/dandelionstand/dialect/CallerRequest.h
+++ b/src/dandelionstand/dialect/CallerRequest.h
@@ -14,6 +14,7 @@
 //! A caller's HTTP request without its hop-by-hop headers.
 struct CallerRequest
 {
+  std::string clientHost_; //!< IP address of the client.
   std::string id_; //!< The caller's request ID, for logs; may be empty.
   std::string method_;
   std::string host_;
--- a/src/dandelionstand/http/Message.h
+++ b/src/dandelionstand/http/Message.h
@@ -33,6 +33,7 @@
   std::string body_;
   bool isHttp11_ = true;     //!< False for HTTP/1.0, which has no chunked encoding.
   bool isKeptAlive_ = false; //!< The client allows the connection to be reused.
+  std::string clientHost_;   //!< IP address of the client.
 
   //! The request target without its query.
   std::string_view Path() const;
--- a/src/dandelionstand/http/ServerConnection.cpp
+++ b/src/dandelionstand/http/ServerConnection.cpp
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -32,6 +33,19 @@
   return aMethod == "GET" || aMethod == "HEAD" || aMethod == "OPTIONS";
 }
 
+//! IP address of the other end of a connected socket; empty if it is not IPv4 or already closed.
+std::string PeerHostOf(int aDescriptor)
+{
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  char host[INET_ADDRSTRLEN] = {};
+  const bool isKnown =
+    getpeername(aDescriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0 &&
+    address.sin_family == AF_INET &&
+    inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host)) != nullptr;
+  return isKnown ? host : "";
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(common::EventLoop& aLoop,
@@ -40,6 +54,7 @@
   : loop_(aLoop)
   , handlers_(aHandlers)
   , stream_(bufferevent_socket_new(aLoop.Base(), aDescriptor, BEV_OPT_CLOSE_ON_FREE))
+  , clientHost_(PeerHostOf(aDescriptor))
 {
   const int on = 1;
   setsockopt(aDescriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -133,7 +148,9 @@
 
 void ServerConnection::AddExchange()
 {
-  auto exchange = std::make_unique<ServerExchange>(*this, reader_.ExtractRequest());
+  Request request = reader_.ExtractRequest();
+  request.clientHost_ = clientHost_;
+  auto exchange = std::make_unique<ServerExchange>(*this, std::move(request));
   ServerExchange& added = *exchange;
   const bool isDeferred = !exchanges_.empty() && !IsSafeMethod(added.method_);
   exchanges_.push_back(std::move(exchange));
--- a/src/dandelionstand/http/ServerConnection.h
+++ b/src/dandelionstand/http/ServerConnection.h
@@ -80,6 +80,7 @@
   Handlers handlers_;
   bufferevent* stream_;
   evbuffer_cb_entry* outputCallback_ = nullptr;
+  std::string clientHost_; //!< IP address.
   RequestReader reader_;
   std::deque<std::unique_ptr<ServerExchange>> exchanges_;
   //! Ended exchanges that functions on the call stack may still use; destroyed in the next loop
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -4,6 +4,7 @@
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/common/HttpServer.h"
+#include "dandelionstand/common/Milliseconds.h"
 #include "dandelionstand/peer/generated/envelope.pb.h"
 #include "dandelionstand/target/ForwardedCall.h"
 
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr common::Duration kTickInterval = std::chrono::milliseconds(20);
+constexpr common::Duration kUsageLogInterval = std::chrono::seconds(5);
 
 template<typename Message>
 AttemptKey KeyOf(const peer::wire::Envelope& aEnvelope, const Message& aMessage)
@@ -50,6 +52,7 @@
 {
   transport_.Received().connect(sigc::mem_fun(*this, &TargetForwarder::OnEnvelope));
   tickTimer_ = loop_.Every(kTickInterval, [this] { Tick(); });
+  usageTimer_ = loop_.Every(kUsageLogInterval, [this] { LogUsage(); });
 }
 
 TargetForwarder::~TargetForwarder() = default;
@@ -110,20 +113,23 @@
   const common::TimePoint now = common::Now();
   const common::TimePoint deadline = now + std::chrono::milliseconds(aStart.time_left_ms());
   const auto trafficClass = static_cast<config::TrafficClass>(aStart.traffic_class());
-  calls_[aKey] = { now,
-                   deadline,
-                   std::make_unique<ForwardedCall>(
-                     callContext_,
-                     aCallerDaemon,
-                     aKey,
-                     aStart,
-                     [this](const AttemptKey& aFinishedKey, WorkOutcome aOutcome) {
-                       OnCallFinished(AttemptKey(aFinishedKey), aOutcome);
-                     }) };
   Work work{ aKey, trafficClass, deadline };
   if (aStart.has_objective()) {
     work.objective_ = now + std::chrono::milliseconds(aStart.objective_left_ms());
   }
+  CallEntry& entry = calls_[aKey];
+  entry.offeredAt_ = now;
+  entry.deadline_ = deadline;
+  entry.objective_ = work.objective_;
+  entry.call_ = std::make_unique<ForwardedCall>(
+    callContext_,
+    aCallerDaemon,
+    aKey,
+    aStart,
+    [this](const AttemptKey& aFinishedKey, WorkOutcome aOutcome) {
+      OnCallFinished(AttemptKey(aFinishedKey), aOutcome);
+    });
+  usage_.RecordOffer(aStart.route());
   work.rank_ = aStart.rank();
   work.route_ = aStart.route();
   work.mayMissObjective_ = !aStart.has_other_endpoints();
@@ -142,7 +148,16 @@
 
 void TargetForwarder::OnCallFinished(const AttemptKey& aKey, WorkOutcome aOutcome)
 {
-  calls_.erase(aKey);
+  const auto found = calls_.find(aKey);
+  if (found != calls_.end()) {
+    const CallEntry& entry = found->second;
+    if (entry.startedAt_ != common::TimePoint()) {
+      usage_.RecordEnd(entry.call_->Request().route(),
+                       common::Now() - entry.startedAt_,
+                       aOutcome == WorkOutcome::kAborted);
+    }
+    calls_.erase(found);
+  }
   Apply(queue_->OnWorkFinished(aKey, aOutcome, common::Now()));
 }
 
@@ -152,7 +167,11 @@
     if (const auto* start = std::get_if<StartWork>(&action)) {
       counters_.Add("target_calls_forwarded_total");
       CallEntry& entry = calls_.at(start->key_);
-      counters_.Observe("target_wait_seconds", common::Now() - entry.offeredAt_);
+      entry.startedAt_ = common::Now();
+      counters_.Observe("target_wait_seconds", entry.startedAt_ - entry.offeredAt_);
+      usage_.RecordStart(entry.call_->Request().route(),
+                         start->key_.attempt_ > 1,
+                         entry.startedAt_ > entry.objective_);
       entry.call_->Start(entry.deadline_, target_.incarnationId_);
     } else if (const auto* refusal = std::get_if<RefuseWork>(&action)) {
       const auto found = calls_.find(refusal->key_);
@@ -174,11 +193,15 @@
                      { "from", aKey.callerInstance_.Get() },
                      { "attempt", aKey.attempt_ },
                      { "reason", aReason },
+                     { "route", aStart.route() },
+                     { "rank", aStart.rank() },
                      { "version", aStart.config_version() },
                      { "time_left_ms", aStart.time_left_ms() },
+                     { "objective_left_ms", aStart.objective_left_ms() },
                      { "running", queue_->RunningCount() },
                      { "queued", queue_->QueuedCount() },
                      { "slots", queue_->UsableSlots(common::Now()) } });
+  usage_.RecordRefusal(aStart.route());
   counters_.Add("target_calls_refused_total{reason=\"" + std::string(aReason) + "\"}");
   sender_.SendFailed(aRecipient, aKey, aStart.route(), aReason, peer::wire::NOT_RUN);
 }
@@ -208,6 +231,24 @@
   Apply(queue_->Tick(common::Now()));
 }
 
+void TargetForwarder::LogUsage()
+{
+  for (const auto& [route, use] : usage_.Extract()) {
+    common::LogEvent(common::Severity::kInfo,
+                     "target_use",
+                     { { "route", route },
+                       { "offered", use.offered_ },
+                       { "started", use.started_ },
+                       { "started_late", use.startedLate_ },
+                       { "retries", use.startedRetries_ },
+                       { "refused", use.refused_ },
+                       { "aborted", use.aborted_ },
+                       { "slot_ms", common::ToMilliseconds(use.slotTime_) },
+                       { "work_time_ms", common::ToMilliseconds(queue_->MeanServiceTime(route)) },
+                       { "slots", queue_->UsableSlots(common::Now()) } });
+  }
+}
+
 peer::wire::Load TargetForwarder::CurrentLoad() const
 {
   peer::wire::Load load;
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -7,6 +7,7 @@
 #include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/AnswerSender.h"
 #include "dandelionstand/target/ForwardedCall.h"
+#include "dandelionstand/target/RouteUsage.h"
 #include "dandelionstand/target/TargetConnections.h"
 
 #include <sigc++/signal.h>
@@ -78,7 +79,9 @@
   {
     common::TimePoint offeredAt_;
     common::TimePoint deadline_;
+    common::TimePoint objective_ = common::TimePoint::max();
     std::unique_ptr<ForwardedCall> call_;
+    common::TimePoint startedAt_; //!< Zero until the attempt is forwarded.
   };
 
   void OnEnvelope(const peer::PeerRef& aCallerDaemon, const peer::wire::Envelope& aEnvelope);
@@ -94,6 +97,7 @@
               std::string_view aReason);
   void RefreshLimits();
   void Tick();
+  void LogUsage();
 
   common::EventLoop& loop_;
   common::Counters& counters_;
@@ -107,7 +111,9 @@
   ForwardedCall::Context callContext_;
   sigc::signal<void, const std::string&> targetLost_;
   std::map<AttemptKey, CallEntry> calls_;
+  RouteUsage usage_;
   std::unique_ptr<common::Watch> tickTimer_;
+  std::unique_ptr<common::Watch> usageTimer_;
 };
 
 } // namespace dandelionstand::target
