Hold the bodies of large answers back until the link has bandwidth

Cause: head-of-line blocking on the link of an instance. The daemons beside the 9 download endpoints (7 Mbit/s each) wrote bodies as fast as the endpoint handed them over. Everything else that left the instance waited behind them: small answers beyond their time-outs, heartbeats beyond the silence limit, so that peers replaced the link and failed all calls on it. Change: EgressQueue sends small messages at once and gives bodies beyond 16 KB what the link has left, one answer after the other; the expected size of answers in work is reserved. The transfer time counts in admission and in the reported work time, so other endpoints are chosen. The bandwidth is the new setting link_mbit_per_s; without it nothing waits. Frames are 16 KB.

--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -108,7 +108,11 @@
     status_ = aStatus;
     connection_.SendHead(aStatus, aHeaders);
   }
-  void SendBody(const std::string& aData) override { connection_.SendBody(aData); }
+  void SendBody(const std::string& aData) override
+  {
+    server_.bodySent_.emit(aData.size());
+    connection_.SendBody(aData);
+  }
   void Finish() override
   {
     server_.CountOutcome("answered");
@@ -155,7 +159,7 @@
 
   CallerConnection connection_;
   std::string id_;
-  std::string clientHost_; //!< IP address.
+  std::string clientHost_;   //!< IP address.
   common::RequestId callId_; //!< 0 for a request without a call.
   std::uint32_t status_ = 0;
   common::TimePoint receivedAt_ = common::Now();
@@ -187,21 +191,22 @@
   const std::uint64_t version = config ? config->version_.Get() : 0;
   const auto elapsed =
     std::chrono::duration_cast<std::chrono::milliseconds>(common::Now() - receivedAt_).count();
-  common::LogEvent(aSeverity,
-                   aEvent,
-                   { { "request", id_ },
-                     { "client", clientHost_ },
-                     { "status", status_ },
-                     { "reason", aReason },
-                     { "run", ToText(aRunState) },
-                     { "ms", static_cast<std::uint64_t>(elapsed) },
-                     { "version", call == nullptr ? version : call->Route().version_.Get() },
-                     { "route", call == nullptr ? "" : call->Route().name_.Get() },
-                     { "service", call == nullptr ? "" : call->Route().route_.endpoints_.Get() },
-                     { "caller_age_ms", call == nullptr ? 0 : ToMilliseconds(call->Plan().callerAge_) },
-                     { "target_ms", call == nullptr ? 0 : ToMilliseconds(call->TargetTime()) },
-                     { "attempts", call == nullptr ? 0 : call->AttemptsMade() },
-                     { "endpoint", call == nullptr ? "" : call->LastEndpoint().instance_.Get() } });
+  common::LogEvent(
+    aSeverity,
+    aEvent,
+    { { "request", id_ },
+      { "client", clientHost_ },
+      { "status", status_ },
+      { "reason", aReason },
+      { "run", ToText(aRunState) },
+      { "ms", static_cast<std::uint64_t>(elapsed) },
+      { "version", call == nullptr ? version : call->Route().version_.Get() },
+      { "route", call == nullptr ? "" : call->Route().name_.Get() },
+      { "service", call == nullptr ? "" : call->Route().route_.endpoints_.Get() },
+      { "caller_age_ms", call == nullptr ? 0 : ToMilliseconds(call->Plan().callerAge_) },
+      { "target_ms", call == nullptr ? 0 : ToMilliseconds(call->TargetTime()) },
+      { "attempts", call == nullptr ? 0 : call->AttemptsMade() },
+      { "endpoint", call == nullptr ? "" : call->LastEndpoint().instance_.Get() } });
 }
 
 CallerServer::CallerServer(common::EventLoop& aLoop,
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -13,6 +13,7 @@
 #include "dandelionstand/config/ConfigState.h"
 #include "dandelionstand/http/Server.h"
 
+#include <sigc++/signal.h>
 #include <sigc++/trackable.h>
 
 #include <cstdint>
@@ -66,6 +67,8 @@
                const CallerServerSettings& aSettings);
   ~CallerServer();
 
+  //! Emitted with the size of each piece of an answer's body that is sent to a caller.
+  sigc::signal<void, std::size_t>& BodySent() { return bodySent_; }
   const common::Address& BoundAddress() const { return server_.BoundAddress(); }
   //! Refuses new requests as not run unless DrainAdmission admits them; those in flight continue.
   void StartDrain(const DrainTimes& aTimes) { drain_.Start(aTimes, common::Now()); }
@@ -125,6 +128,7 @@
   //! the event loop.
   std::vector<std::unique_ptr<Exchange>> endedExchanges_;
   std::unique_ptr<common::Watch> cleanupTimer_;
+  sigc::signal<void, std::size_t> bodySent_;
   std::uint64_t lastRequestId_ = 0;
   std::uint64_t bodyBytes_ = 0;
   DrainAdmission drain_;
--- a/src/dandelionstand/common/JsonReader.cpp
+++ b/src/dandelionstand/common/JsonReader.cpp
@@ -1,6 +1,7 @@
 #include "dandelionstand/common/JsonReader.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace dandelionstand::common {
@@ -132,6 +133,21 @@
   return Number(aKey, aRange.min_, aRange);
 }
 
+std::optional<double> JsonReader::OptionalDecimal(const std::string& aKey, double aMin, double aMax)
+{
+  const json* value = Find(aKey);
+  if (value == nullptr || value->is_null()) {
+    return std::nullopt;
+  }
+  if (!value->is_number() || value->get<double>() < aMin || value->get<double>() > aMax) {
+    std::ostringstream message;
+    message << "must be a number from " << aMin << " to " << aMax;
+    AddFinding(aKey, message.str());
+    return std::nullopt;
+  }
+  return value->get<double>();
+}
+
 bool JsonReader::Bool(const std::string& aKey, bool aDefault)
 {
   const json* value = Find(aKey);
--- a/src/dandelionstand/common/JsonReader.h
+++ b/src/dandelionstand/common/JsonReader.h
@@ -4,6 +4,7 @@
 #include "dandelionstand/common/LocatedJson.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
                      const std::string& aDefault);
   std::uint64_t Number(const std::string& aKey, std::uint64_t aDefault, Range aRange);
   std::uint64_t RequiredNumber(const std::string& aKey, Range aRange);
+  //! Reads a number that may have a fraction; nullopt if the key is absent or null.
+  std::optional<double> OptionalDecimal(const std::string& aKey, double aMin, double aMax);
   bool Bool(const std::string& aKey, bool aDefault);
   std::vector<std::string> Strings(const std::string& aKey);
   //! Returns a reader for a nested object. An absent key is read as an empty object.
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -119,6 +119,18 @@
   return std::make_unique<target::FairShareQueue>(target::FairShareSettings{});
 }
 
+target::EgressSettings MakeEgressSettings(const Settings& aSettings)
+{
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  target::EgressSettings egress;
+  egress.instance_ = aSettings.instance_;
+  if (aSettings.linkMegabitsPerSecond_) {
+    egress.bytesPerSecond_ =
+      static_cast<std::uint64_t>(*aSettings.linkMegabitsPerSecond_ * kBytesPerMegabit);
+  }
+  return egress;
+}
+
 std::ptrdiff_t LiveCount(const peer::Members& aMembers)
 {
   return std::count_if(
@@ -172,6 +184,7 @@
                counters_,
                transport_,
                *targetDialect_,
+               MakeEgressSettings(aSettings),
                incarnation_,
                MakeQueue(aSettings),
                [this] { return configSource_->ActiveState(); })
@@ -219,6 +232,7 @@
     sigc::mem_fun(membership_, &peer::MembershipTask::SetConfigVersion));
   configSource_->VersionChanged().connect(
     [this](common::Version) { configActivatedAt_ = common::Now(); });
+  callerServer_.BodySent().connect([this](std::size_t aBytes) { forwarder_.RecordEgress(aBytes); });
   admin_.SetGaugeUpdater([this] { UpdateGauges(); });
   admin_.SetStatusProvider([this] { return configSource_->Status(); });
   admin_.AddDumpSection("members", [this] { return DumpMembers(); });
--- a/src/dandelionstand/daemon/Settings.cpp
+++ b/src/dandelionstand/daemon/Settings.cpp
@@ -22,6 +22,8 @@
 constexpr Range kIdleCloseMs{ 1'000, 3'600'000 };
 constexpr Range kLogTimeoutMs{ 50, 60'000 };
 constexpr Range kDrainLimitMs{ 0, 600'000 };
+constexpr double kMinLinkMegabits = 0.1;
+constexpr double kMaxLinkMegabits = 1e6;
 
 common::Duration Milliseconds(std::uint64_t aCount)
 {
@@ -136,6 +138,8 @@
   settings.log_ = ReadLog(reader.Object("log"));
   settings.spreading_ = reader.Choice("spreading", { "tree", "direct", "gossip" }, "tree");
   settings.profile_ = reader.Choice("profile", { "time", "bytes" }, "time");
+  settings.linkMegabitsPerSecond_ =
+    reader.OptionalDecimal("link_mbit_per_s", kMinLinkMegabits, kMaxLinkMegabits);
   settings.drainLimit_ = Milliseconds(reader.Number("drain_limit_ms", 30'000, kDrainLimitMs));
   common::ParseSeverity(reader.Choice("log_level", { "debug", "info", "warn", "error" }, "info"),
                         settings.logLevel_);
--- a/src/dandelionstand/daemon/Settings.h
+++ b/src/dandelionstand/daemon/Settings.h
@@ -67,6 +67,8 @@
   LogSettings log_;
   std::string spreading_; //!< "tree", "direct" or "gossip".
   std::string profile_;   //!< "time" or "bytes".
+  //! Bandwidth of the instance's link in Mbit/s; nullopt if it is unlimited.
+  std::optional<double> linkMegabitsPerSecond_;
   common::Duration drainLimit_{};
   common::Severity logLevel_ = common::Severity::kInfo;
   std::optional<PlatformSettings> platform_;
--- a/src/dandelionstand/peer/Transport.h
+++ b/src/dandelionstand/peer/Transport.h
@@ -5,6 +5,7 @@
 
 #include <sigc++/signal.h>
 
+#include <cstddef>
 #include <string>
 
 namespace dandelionstand::peer::wire {
@@ -35,11 +36,14 @@
 
   //! Emitted for each valid envelope received, except link heartbeats.
   sigc::signal<void, const PeerRef&, const wire::Envelope&>& Received() { return received_; }
+  //! Emitted with the number of bytes of each message sent, except link heartbeats.
+  sigc::signal<void, std::size_t>& Sent() { return sent_; }
   //! Emitted when an unresponsive outgoing link was replaced; messages in transit on it are lost.
   sigc::signal<void, const common::Address&>& LinkLost() { return linkLost_; }
 
 private:
   sigc::signal<void, const PeerRef&, const wire::Envelope&> received_;
+  sigc::signal<void, std::size_t> sent_;
   sigc::signal<void, const common::Address&> linkLost_;
 };
 
--- a/src/dandelionstand/peer/ZmqTransport.cpp
+++ b/src/dandelionstand/peer/ZmqTransport.cpp
@@ -96,7 +96,8 @@
 {
   SetCommonFields(aEnvelope);
   counters_.Add("peer_messages_sent_total");
-  counters_.Add("peer_bytes_sent_total", aEnvelope.ByteSizeLong());
+  const std::size_t bytes = aEnvelope.ByteSizeLong();
+  counters_.Add("peer_bytes_sent_total", bytes);
   bool sent = false;
   if (!aTo.returnPath_.empty()) {
     sent = SendOnRouter(aTo.returnPath_, aEnvelope);
@@ -107,8 +108,10 @@
   }
   if (!sent) {
     counters_.Add("peer_messages_dropped_total");
+    return false;
   }
-  return sent;
+  Sent().emit(bytes);
+  return true;
 }
 
 bool ZmqTransport::SendOnRouter(const std::string& aReturnPath, const wire::Envelope& aEnvelope)
--- a/src/dandelionstand/target/AdmissionQueue.h
+++ b/src/dandelionstand/target/AdmissionQueue.h
@@ -23,6 +23,8 @@
   common::TimePoint objective_ = common::TimePoint::max();
   std::uint32_t rank_ = 0; //!< 0 is the highest priority.
   std::string route_;      //!< Service times are estimated by route.
+  //! Time from the end of the work until its answer has left this instance.
+  common::Duration transferTime_{ 0 };
   //! True if no other endpoint can be tried, so that the work may wait here beyond its objective.
   bool mayMissObjective_ = true;
 };
--- a/src/dandelionstand/target/AnswerSender.cpp
+++ b/src/dandelionstand/target/AnswerSender.cpp
@@ -1,7 +1,10 @@
 #include "dandelionstand/target/AnswerSender.h"
 
-#include "dandelionstand/peer/generated/envelope.pb.h"
+#include "dandelionstand/common/EventLoop.h"
 
+#include <sigc++/functors/mem_fun.h>
+
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -9,6 +12,22 @@
 
 namespace {
 
+//! Share of the link's bandwidth that is used, since headers below the transport are not counted.
+constexpr double kUsableBandwidth = 0.92;
+//! Answers up to this size do not wait.
+constexpr std::size_t kMaxImmediateBytes = 16UL * 1024;
+constexpr common::Duration kMinSendInterval = std::chrono::milliseconds(1);
+//! Weight of the newest answer in the moving average of a route's answer sizes.
+constexpr double kAnswerSizeWeight = 0.1;
+
+std::optional<std::uint64_t> UsableBandwidth(std::optional<std::uint64_t> aBytesPerSecond)
+{
+  if (!aBytesPerSecond) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint64_t>(static_cast<double>(*aBytesPerSecond) * kUsableBandwidth);
+}
+
 template<typename Message>
 void SetKey(Message& aMessage, const AttemptKey& aKey)
 {
@@ -19,10 +38,93 @@
 
 } // namespace
 
-AnswerSender::AnswerSender(peer::Transport& aTransport, LoadSource aLoadSource)
-  : transport_(aTransport)
+AnswerSender::AnswerSender(common::EventLoop& aLoop,
+                           peer::Transport& aTransport,
+                           EgressSettings aSettings,
+                           LoadSource aLoadSource)
+  : loop_(aLoop)
+  , transport_(aTransport)
+  , settings_(std::move(aSettings))
   , loadSource_(std::move(aLoadSource))
+  , queue_(UsableBandwidth(settings_.bytesPerSecond_))
+{
+  transport_.Sent().connect(sigc::mem_fun(*this, &AnswerSender::RecordEgress));
+}
+
+AnswerSender::~AnswerSender() = default;
+
+void AnswerSender::RecordEgress(std::size_t aBytes)
+{
+  if (!isSendingLocally_) {
+    queue_.RecordSent(aBytes, common::Now());
+  }
+}
+
+std::size_t AnswerSender::WaitingBytes(const std::string& aRoute,
+                                       const common::InstanceId& aCallerInstance) const
+{
+  const auto size = answerBytes_.find(aRoute);
+  const bool waits = queue_.IsLimited() && size != answerBytes_.end() &&
+                     size->second > kMaxImmediateBytes && aCallerInstance != settings_.instance_;
+  return waits ? static_cast<std::size_t>(size->second) : 0;
+}
+
+common::Duration AnswerSender::TransferTime(const std::string& aRoute,
+                                            const common::InstanceId& aCallerInstance) const
+{
+  const std::size_t bytes = WaitingBytes(aRoute, aCallerInstance);
+  return bytes > 0 ? queue_.TimeToSend(bytes, common::Now()) : common::Duration(0);
+}
+
+void AnswerSender::Reserve(const std::string& aRoute, const AttemptKey& aKey)
+{
+  queue_.Reserve(aKey, WaitingBytes(aRoute, aKey.callerInstance_));
+}
+
+bool AnswerSender::SendPart(EgressQueue::Part aPart, bool aMayWait)
+{
+  const bool isLocal = aPart.key_.callerInstance_ == settings_.instance_;
+  const bool waits = queue_.IsLimited() && !isLocal && (aMayWait || queue_.Contains(aPart.key_));
+  if (!waits) {
+    return Transmit(aPart.recipient_, aPart.key_, aPart.envelope_);
+  }
+  queue_.Push(std::move(aPart));
+  SendDue();
+  return true;
+}
+
+bool AnswerSender::Transmit(const peer::PeerRef& aRecipient,
+                            const AttemptKey& aKey,
+                            peer::wire::Envelope& aEnvelope)
+{
+  isSendingLocally_ = aKey.callerInstance_ == settings_.instance_;
+  const bool isSent = transport_.Send(aRecipient, aEnvelope);
+  isSendingLocally_ = false;
+  return isSent;
+}
+
+void AnswerSender::SendDue()
+{
+  while (auto part = queue_.TakeDue(common::Now())) {
+    if (part->isLast_) {
+      *part->envelope_.mutable_answer_end()->mutable_load() = loadSource_(part->route_);
+    }
+    if (!Transmit(part->recipient_, part->key_, part->envelope_)) {
+      // The caller's daemon detects the incomplete answer by the gap in the frame sequence.
+      queue_.Drop(part->key_);
+    }
+  }
+  ScheduleSending();
+}
+
+void AnswerSender::ScheduleSending()
 {
+  if (queue_.IsEmpty()) {
+    sendTimer_.reset();
+    return;
+  }
+  const common::Duration wait = std::max(kMinSendInterval, queue_.NextDue() - common::Now());
+  sendTimer_ = loop_.After(wait, [this] { SendDue(); });
 }
 
 bool AnswerSender::SendHead(const peer::PeerRef& aRecipient,
@@ -32,7 +134,7 @@
   peer::wire::Envelope envelope;
   SetKey(aHead, aKey);
   *envelope.mutable_answer_head() = std::move(aHead);
-  return transport_.Send(aRecipient, envelope);
+  return Transmit(aRecipient, aKey, envelope);
 }
 
 bool AnswerSender::SendBody(const peer::PeerRef& aRecipient,
@@ -41,8 +143,10 @@
 {
   peer::wire::Envelope envelope;
   SetKey(aBody, aKey);
+  const std::size_t bytes = aBody.data().size();
+  const bool mayWait = aBody.sequence() > 0 || bytes > kMaxImmediateBytes;
   *envelope.mutable_answer_body() = std::move(aBody);
-  return transport_.Send(aRecipient, envelope);
+  return SendPart({ aRecipient, aKey, std::move(envelope), bytes, false, "" }, mayWait);
 }
 
 bool AnswerSender::SendEnd(const peer::PeerRef& aRecipient,
@@ -53,8 +157,11 @@
   peer::wire::Envelope envelope;
   SetKey(aEnd, aKey);
   *aEnd.mutable_load() = loadSource_(aRoute);
+  const auto bytes = static_cast<double>(aEnd.length());
+  const auto [average, isNew] = answerBytes_.try_emplace(aRoute, bytes);
+  average->second += isNew ? 0.0 : kAnswerSizeWeight * (bytes - average->second);
   *envelope.mutable_answer_end() = std::move(aEnd);
-  return transport_.Send(aRecipient, envelope);
+  return SendPart({ aRecipient, aKey, std::move(envelope), 0, true, aRoute }, false);
 }
 
 bool AnswerSender::SendFailed(const peer::PeerRef& aRecipient,
@@ -71,7 +178,8 @@
   failed.set_run_state(aRunState);
   failed.set_deep(aDeep);
   *failed.mutable_load() = loadSource_(aRoute);
-  return transport_.Send(aRecipient, envelope);
+  queue_.Drop(aKey);
+  return Transmit(aRecipient, aKey, envelope);
 }
 
 } // namespace dandelionstand::target
--- a/src/dandelionstand/target/AnswerSender.h
+++ b/src/dandelionstand/target/AnswerSender.h
@@ -4,24 +4,54 @@
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/peer/generated/call.pb.h"
 #include "dandelionstand/target/AttemptKey.h"
+#include "dandelionstand/target/EgressQueue.h"
+#include "dandelionstand/target/EgressSettings.h"
 
+#include <sigc++/trackable.h>
+
+#include <cstddef>
 #include <functional>
+#include <map>
+#include <memory>
+#include <string>
 #include <string_view>
 
-namespace dandelionstand::peer::wire {
-class Envelope;
-} // namespace dandelionstand::peer::wire
+namespace dandelionstand::common {
+class EventLoop;
+class Watch;
+} // namespace dandelionstand::common
 
 namespace dandelionstand::target {
 
 //! Sends the answers of attempts to the daemons of their callers, with the target's current load.
-class AnswerSender
+//! Large bodies wait until the link of this instance has bandwidth for them; see EgressQueue.
+class AnswerSender : public sigc::trackable
 {
 public:
   //! Returns the current load, with the service time of requests of the route.
   using LoadSource = std::function<peer::wire::Load(const std::string& aRoute)>;
 
-  AnswerSender(peer::Transport& aTransport, LoadSource aLoadSource);
+  AnswerSender(common::EventLoop& aLoop,
+               peer::Transport& aTransport,
+               EgressSettings aSettings,
+               LoadSource aLoadSource);
+  ~AnswerSender();
+
+  //! Counts bytes that leave this instance other than through the transport.
+  void RecordEgress(std::size_t aBytes);
+  //! Time from the end of the target's answer until it has left this instance, as usual for the
+  //! route's answers. 0 for small answers, which do not wait, and for callers on this instance.
+  common::Duration TransferTime(const std::string& aRoute,
+                                const common::InstanceId& aCallerInstance) const;
+  //! Counts the usual size of the route's answers as waiting until the answer arrives.
+  void Reserve(const std::string& aRoute, const AttemptKey& aKey);
+  //! The target's answer has ended, or it gives none.
+  void ReleaseReservation(const AttemptKey& aKey) { queue_.ReleaseReservation(aKey); }
+  //! Discards what waits of an answer.
+  void Drop(const AttemptKey& aKey) { queue_.Drop(aKey); }
+  //! Number of answers that are not sent completely.
+  std::size_t QueuedCount() const { return queue_.AnswerCount(); }
+  const EgressQueue& Egress() const { return queue_; }
 
   //! Each returns false if the link did not accept the message. The answer is then incomplete, and
   //! sending the rest of it is useless.
@@ -43,8 +73,25 @@
                   bool aDeep = false);
 
 private:
+  //! Usual size of the route's answers if they wait for bandwidth; 0 otherwise.
+  std::size_t WaitingBytes(const std::string& aRoute,
+                           const common::InstanceId& aCallerInstance) const;
+  //! Sends at once, or behind the parts of the same answer that wait.
+  bool SendPart(EgressQueue::Part aPart, bool aMayWait);
+  bool Transmit(const peer::PeerRef& aRecipient,
+                const AttemptKey& aKey,
+                peer::wire::Envelope& aEnvelope);
+  void SendDue();
+  void ScheduleSending();
+
+  common::EventLoop& loop_;
   peer::Transport& transport_;
+  EgressSettings settings_;
   LoadSource loadSource_;
+  EgressQueue queue_;
+  std::map<std::string, double> answerBytes_; //!< Moving average of answer sizes by route.
+  bool isSendingLocally_ = false;
+  std::unique_ptr<common::Watch> sendTimer_;
 };
 
 } // namespace dandelionstand::target
--- a/src/dandelionstand/target/ForwardedCall.cpp
+++ b/src/dandelionstand/target/ForwardedCall.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
-constexpr std::size_t kMaxFrameBytes = 64UL * 1024;
+//! Small, so that other messages are sent between the frames of a large body.
+constexpr std::size_t kMaxFrameBytes = 16UL * 1024;
 
 //! Maximum time without data from the target during a download, after which the target is taken
 //! to be unresponsive.
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -34,6 +34,7 @@
                                  common::Counters& aCounters,
                                  peer::Transport& aTransport,
                                  const dialect::TargetDialect& aDialect,
+                                 EgressSettings aEgress,
                                  common::Incarnation aDaemonIncarnation,
                                  std::unique_ptr<AdmissionQueue> aQueue,
                                  ConfigSource aConfigSource)
@@ -42,7 +43,10 @@
   , transport_(aTransport)
   , daemonIncarnation_(aDaemonIncarnation)
   , configSource_(std::move(aConfigSource))
-  , sender_(aTransport, [this](const std::string& aRoute) { return CurrentLoad(aRoute); })
+  , sender_(aLoop,
+            aTransport,
+            std::move(aEgress),
+            [this](const std::string& aRoute) { return CurrentLoad(aRoute); })
   , connections_(aLoop)
   , queue_(std::move(aQueue))
   , callContext_{ aLoop,    aCounters,
@@ -52,7 +56,10 @@
 {
   transport_.Received().connect(sigc::mem_fun(*this, &TargetForwarder::OnEnvelope));
   tickTimer_ = loop_.Every(kTickInterval, [this] { Tick(); });
-  usageTimer_ = loop_.Every(kUsageLogInterval, [this] { LogUsage(); });
+  usageTimer_ = loop_.Every(kUsageLogInterval, [this] {
+    LogUsage();
+    LogEgress();
+  });
 }
 
 TargetForwarder::~TargetForwarder() = default;
@@ -121,23 +128,25 @@
   entry.offeredAt_ = now;
   entry.deadline_ = deadline;
   entry.objective_ = work.objective_;
-  entry.call_ = std::make_unique<ForwardedCall>(
-    callContext_,
-    aCallerDaemon,
-    aKey,
-    aStart,
-    [this](const AttemptKey& aFinishedKey, WorkOutcome aOutcome) {
-      OnCallFinished(AttemptKey(aFinishedKey), aOutcome);
-    });
+  entry.call_ =
+    std::make_unique<ForwardedCall>(callContext_,
+                                    aCallerDaemon,
+                                    aKey,
+                                    aStart,
+                                    [this](const AttemptKey& aFinishedKey, WorkOutcome aOutcome) {
+                                      OnCallFinished(AttemptKey(aFinishedKey), aOutcome);
+                                    });
   usage_.RecordOffer(aStart.route());
   work.rank_ = aStart.rank();
   work.route_ = aStart.route();
+  work.transferTime_ = sender_.TransferTime(aStart.route(), aKey.callerInstance_);
   work.mayMissObjective_ = !aStart.has_other_endpoints();
   Apply(queue_->Offer(work, now));
 }
 
 void TargetForwarder::OnCallCancel(const AttemptKey& aKey)
 {
+  sender_.Drop(aKey);
   const auto found = calls_.find(aKey);
   if (found == calls_.end()) {
     return;
@@ -158,6 +167,7 @@
     }
     calls_.erase(found);
   }
+  sender_.ReleaseReservation(aKey);
   Apply(queue_->OnWorkFinished(aKey, aOutcome, common::Now()));
 }
 
@@ -172,6 +182,7 @@
       usage_.RecordStart(entry.call_->Request().route(),
                          start->key_.attempt_ > 1,
                          entry.startedAt_ > entry.objective_);
+      sender_.Reserve(entry.call_->Request().route(), start->key_);
       entry.call_->Start(entry.deadline_, target_.incarnationId_);
     } else if (const auto* refusal = std::get_if<RefuseWork>(&action)) {
       const auto found = calls_.find(refusal->key_);
@@ -249,6 +260,24 @@
   }
 }
 
+void TargetForwarder::LogEgress()
+{
+  const EgressQueue& egress = sender_.Egress();
+  const std::uint64_t sentBytes =
+    egress.SentBytes() - std::exchange(loggedSentBytes_, egress.SentBytes());
+  if (!egress.IsLimited()) {
+    return;
+  }
+  common::LogEvent(
+    common::Severity::kInfo,
+    "egress_use",
+    { { "sent_bytes", sentBytes },
+      { "answers", egress.AnswerCount() },
+      { "queued_bytes", egress.QueuedBytes() },
+      { "reserved_bytes", egress.ReservedBytes() },
+      { "time_to_send_ms", common::ToMilliseconds(egress.TimeToSend(0, common::Now())) } });
+}
+
 peer::wire::Load TargetForwarder::CurrentLoad() const
 {
   peer::wire::Load load;
@@ -261,7 +290,9 @@
 peer::wire::Load TargetForwarder::CurrentLoad(const std::string& aRoute) const
 {
   peer::wire::Load load = CurrentLoad();
-  load.set_work_time_us(static_cast<std::uint32_t>(queue_->MeanServiceTime(aRoute).count()));
+  const common::Duration workTime =
+    queue_->MeanServiceTime(aRoute) + sender_.TransferTime(aRoute, common::InstanceId());
+  load.set_work_time_us(static_cast<std::uint32_t>(workTime.count()));
   return load;
 }
 
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -46,6 +46,7 @@
                   common::Counters& aCounters,
                   peer::Transport& aTransport,
                   const dialect::TargetDialect& aDialect,
+                  EgressSettings aEgress,
                   common::Incarnation aDaemonIncarnation,
                   std::unique_ptr<AdmissionQueue> aQueue,
                   ConfigSource aConfigSource);
@@ -68,7 +69,10 @@
   sigc::signal<void, const std::string&>& TargetLost() { return targetLost_; }
   //! Refuses new calls as not run. Calls in flight continue.
   void StartDrain();
-  std::size_t InFlight() const { return calls_.size(); }
+  //! Calls whose answers are not sent completely.
+  std::size_t InFlight() const { return calls_.size() + sender_.QueuedCount(); }
+  //! Counts bytes that leave this instance other than through the transport.
+  void RecordEgress(std::size_t aBytes) { sender_.RecordEgress(aBytes); }
   //! The load reported with each answer: running and queued work, and usable slots.
   peer::wire::Load CurrentLoad() const;
   //! The same, with the estimated service time of the route's requests.
@@ -98,6 +102,7 @@
   void RefreshLimits();
   void Tick();
   void LogUsage();
+  void LogEgress();
 
   common::EventLoop& loop_;
   common::Counters& counters_;
@@ -112,6 +117,7 @@
   sigc::signal<void, const std::string&> targetLost_;
   std::map<AttemptKey, CallEntry> calls_;
   RouteUsage usage_;
+  std::uint64_t loggedSentBytes_ = 0;
   std::unique_ptr<common::Watch> tickTimer_;
   std::unique_ptr<common::Watch> usageTimer_;
 };
--- a/src/dandelionstand/target/UrgencyQueue.cpp
+++ b/src/dandelionstand/target/UrgencyQueue.cpp
@@ -11,6 +11,8 @@
 constexpr double kOverdueShareWeight = 0.05;
 //! Below this share no overdue work is accepted, since it would hardly ever be started.
 constexpr double kMinOverdueShare = 0.1;
+//! Work whose answer would be late because of the link is accepted only below this transfer time.
+constexpr common::Duration kMaxLateTransferTime = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -62,9 +64,13 @@
   ShedUnservable(aNow, actions);
   StartQueued(aNow, actions);
   const common::TimePoint start = aNow + EstimatedWait(aWork, aNow);
-  if (start + MeanServiceTime(aWork.route_) > aWork.deadline_) {
+  if (start + MeanServiceTime(aWork.route_) + aWork.transferTime_ > aWork.deadline_) {
     return refuse(RefusalReason::kUnservable);
   }
+  if (aWork.transferTime_ > kMaxLateTransferTime && !MeetsObjective(aWork, start)) {
+    // Answers leave in order, so a late one would also delay those that could be on time.
+    return refuse(aWork.mayMissObjective_ ? RefusalReason::kQueueFull : RefusalReason::kBusy);
+  }
   if (running_.size() < slots_) {
     Start(aWork, aNow, actions);
     return actions;
@@ -127,7 +133,7 @@
   }
   const auto found = routeTimes_.find(aWork.route_);
   const ServiceTime& time = found == routeTimes_.end() ? overallTime_ : found->second;
-  return aStart + time.MeanPlusDeviation() <= aWork.objective_;
+  return aStart + time.MeanPlusDeviation() + aWork.transferTime_ <= aWork.objective_;
 }
 
 bool UrgencyQueue::HasPriorityOver(const Work& aLhs, const Work& aRhs, common::TimePoint aNow) const
--- a/tests/daemon/SettingsTests.cpp
+++ b/tests/daemon/SettingsTests.cpp
@@ -47,6 +47,25 @@
   CHECK(settings.profile_ == "time");
 }
 
+TEST_CASE("The bandwidth of the link may have a fraction, be null or be missing",
+          "[daemon][settings]")
+{
+  const auto withLink = [](const std::string& aValue) {
+    return Replace(kValidSettings, "\"log\":", "\"link_mbit_per_s\": " + aValue + ", \"log\":");
+  };
+  const auto linkOf = [](const std::string& aText) {
+    common::Findings findings;
+    const daemon::Settings settings = daemon::ParseSettings(aText, "daemon.json", findings);
+    CHECK(findings.ToString().empty());
+    return settings.linkMegabitsPerSecond_;
+  };
+  CHECK(linkOf(withLink("9.8")) == 9.8);
+  CHECK_FALSE(linkOf(withLink("null")));
+  CHECK_FALSE(linkOf(kValidSettings));
+  CHECK(FindingsOf(withLink("0")) ==
+        "daemon.json:9: link_mbit_per_s: must be a number from 0.1 to 1e+06\n");
+}
+
 TEST_CASE("Every fault in the settings is reported at once with its line and key",
           "[daemon][settings]")
 {
