Do not take first tries of callers with shorter time-outs for retries

Callers saw: requests refused as busy or late although they could still meet their objective. Cause: the age of a caller was the longest remaining time of the route less its own, which assumes one time-out for all. The users' callers wait for 85 to 100 in 100 of the route's time, so a first try counted as up to 450 ms old of an objective of 800 ms, and calls between endpoints as up to 90 of 200 ms. Change: the usual variation of the route's time-outs is estimated and does not count as age.

--- a/src/dandelionstand/caller/RequestAgeEstimator.h
+++ b/src/dandelionstand/caller/RequestAgeEstimator.h
@@ -4,6 +4,7 @@
 #include "dandelionstand/common/Time.h"
 #include "dandelionstand/config/Resources.h"
 
+#include <cstdint>
 #include <map>
 
 namespace dandelionstand::caller {
@@ -11,9 +12,10 @@
 //! Estimates how long the caller of a request has already been trying.
 //!
 //! The latency objective of a refused caller that retries counts from its first try, but requests
-//! do not state when that was. All callers of a route have the same time-out, and a first try
+//! do not state when that was. The callers of a route have similar time-outs, and a first try
 //! carries all of it. The age of a request is therefore the longest remaining time seen on the
-//! route minus the remaining time of the request.
+//! route minus the remaining time of the request, as far as it exceeds the usual variation of the
+//! callers' time-outs.
 class RequestAgeEstimator
 {
 public:
@@ -23,13 +25,16 @@
                                common::TimePoint aNow);
 
 private:
-  struct MaxRemainingTime
+  struct RouteTimes
   {
-    common::Duration time_;
-    common::TimePoint observedAt_;
+    common::Duration longest_{ 0 }; //!< Longest remaining time.
+    common::TimePoint longestSeenAt_;
+    //! Moving average, in microseconds, of how far short of the longest time others fall.
+    double meanShortfall_ = 0;
+    std::uint64_t sampleCount_ = 0;
   };
 
-  std::map<config::RouteName, MaxRemainingTime> maxRemainingTimes_;
+  std::map<config::RouteName, RouteTimes> routes_;
 };
 
 } // namespace dandelionstand::caller
