Keep to the limit that a target names in its answers, and to its leaving

Cause: what a target states about itself in answers was passed on and not read. Change: the platform's dialect decodes both into a TargetNotice. The daemon beside the target, the only entrance, paces its starts (StartPacer), decides when a limit begins and ends (NoticeTracker) and withdraws a leaving target.

--- a/src/dandelionstand/caller/ActiveCall.cpp
+++ b/src/dandelionstand/caller/ActiveCall.cpp
@@ -61,9 +61,11 @@
     actions = machine_.OnBody(body.attempt(), ToAttemptBody(body), now);
   } else if (aEnvelope.has_answer_end()) {
     const auto& end = aEnvelope.answer_end();
+    RememberNotice(end.attempt(), end.load());
     actions = machine_.OnEnd(end.attempt(), ToAttemptEnd(end), now);
   } else if (aEnvelope.has_answer_failed()) {
     const auto& failed = aEnvelope.answer_failed();
+    RememberNotice(failed.attempt(), failed.load());
     actions = machine_.OnFailed(failed.attempt(), ToAttemptFailed(failed), now);
   }
   context_.counters_.Add("caller_answers_dropped_total",
@@ -71,6 +73,13 @@
   RunActions(std::move(actions));
 }
 
+void ActiveCall::RememberNotice(std::uint32_t aAttempt, const peer::wire::Load& aLoad)
+{
+  if (aAttempt == machine_.RunningAttempt()) {
+    context_.notices_.OnReport(machine_.CurrentEndpoint().instance_, aLoad, common::Now());
+  }
+}
+
 void ActiveCall::OnLinkLost(const common::Address& aAddress)
 {
   if (machine_.RunningAttempt() != 0 && machine_.CurrentEndpoint().address_ == aAddress) {
@@ -145,6 +154,9 @@
   peer::wire::CallStart& start = *envelope.mutable_call_start();
   start.set_request_id(id_.Get());
   FillCallStart(route_, request_, aAttempt, start);
+  if (const auto* notice = context_.notices_.Find(aAttempt.endpoint_.instance_)) {
+    *start.mutable_remembered_notice() = *notice;
+  }
   if (!context_.transport_.Send(PeerRefOf(aAttempt.endpoint_), envelope)) {
     for (CallAction& action : machine_.OnSendFailed(aAttempt.attempt_, common::Now())) {
       Perform(action);
--- a/src/dandelionstand/caller/ActiveCall.h
+++ b/src/dandelionstand/caller/ActiveCall.h
@@ -4,6 +4,7 @@
 #include "dandelionstand/caller/AnswerSink.h"
 #include "dandelionstand/caller/CallMachine.h"
 #include "dandelionstand/caller/CallerRequest.h"
+#include "dandelionstand/caller/RememberedNotices.h"
 #include "dandelionstand/caller/WireCalls.h"
 
 #include <functional>
@@ -33,6 +34,7 @@
   common::EventLoop& loop_;
   common::Counters& counters_;
   peer::Transport& transport_;
+  RememberedNotices& notices_;
 };
 
 //! Drives one CallMachine: sends its messages to the target side and its answer to the caller.
@@ -71,6 +73,7 @@
   //! Performs the actions, then arms the timer or, once the call is done, calls the DoneHandler.
   void RunActions(CallActions aActions);
   void Perform(CallAction& aAction);
+  void RememberNotice(std::uint32_t aAttempt, const peer::wire::Load& aLoad);
   void Send(const SendAttempt& aAttempt);
   void Cancel(const CancelAttempt& aAttempt);
   void Grant(const GrantCredit& aGrant);
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -217,7 +217,7 @@
                            const dialect::CallerDialect& aDialect,
                            ConfigSource aConfig,
                            const CallerServerSettings& aSettings)
-  : context_{ aLoop, aCounters, aTransport }
+  : context_{ aLoop, aCounters, aTransport, notices_ }
   , dialect_(aDialect)
   , config_(std::move(aConfig))
   , settings_(aSettings)
--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -112,6 +112,7 @@
   void EndExchange(const Exchange& aExchange);
   void CountOutcome(const std::string& aOutcome);
 
+  RememberedNotices notices_;
   CallContext context_;
   const dialect::CallerDialect& dialect_;
   ConfigSource config_;
--- a/src/dandelionstand/dialect/NativeDialect.cpp
+++ b/src/dandelionstand/dialect/NativeDialect.cpp
@@ -89,4 +89,9 @@
   return isShed ? AnswerVerdict::kNotRun : AnswerVerdict::kValid;
 }
 
+TargetNotice NativeTargetDialect::ReadNotice(const http::ResponseHead&) const
+{
+  return {};
+}
+
 } // namespace dandelionstand::dialect
--- a/src/dandelionstand/dialect/NativeDialect.h
+++ b/src/dandelionstand/dialect/NativeDialect.h
@@ -21,6 +21,8 @@
   http::Headers WriteHeaders(http::Headers aCallerHeaders, const TargetCall& aCall) const override;
   AnswerVerdict ClassifyAnswer(const http::Headers& aSent,
                                const http::ResponseHead& aAnswer) const override;
+  //! The product's own interface has no such headers: its targets announce that they leave.
+  TargetNotice ReadNotice(const http::ResponseHead& aAnswer) const override;
 };
 
 //! Parses a decimal number. Returns false unless the entire text is a number that fits.
--- a/src/dandelionstand/dialect/TargetDialect.h
+++ b/src/dandelionstand/dialect/TargetDialect.h
@@ -2,6 +2,7 @@
 #define dandelionstand_dialect_TargetDialect_h
 
 #include "dandelionstand/common/Time.h"
+#include "dandelionstand/dialect/TargetNotice.h"
 #include "dandelionstand/http/Message.h"
 
 #include <cstdint>
@@ -40,6 +41,8 @@
   //! aSent are the headers of the request that aAnswer follows.
   virtual AnswerVerdict ClassifyAnswer(const http::Headers& aSent,
                                        const http::ResponseHead& aAnswer) const = 0;
+  //! Reads what the target states about itself in an answer.
+  virtual TargetNotice ReadNotice(const http::ResponseHead& aAnswer) const = 0;
 };
 
 } // namespace dandelionstand::dialect
--- a/src/dandelionstand/platform/PlatformDialect.cpp
+++ b/src/dandelionstand/platform/PlatformDialect.cpp
@@ -4,7 +4,10 @@
 #include "dandelionstand/dialect/NativeDialect.h"
 
 #include <array>
+#include <charconv>
+#include <cmath>
 #include <cstdio>
+#include <optional>
 #include <utility>
 
 namespace dandelionstand::platform {
@@ -25,6 +28,11 @@
 //! Signature of the status and body of a target's answer.
 constexpr const char* kSignature = "X-Dandelionstand-Response-Signature";
 
+//! Requests per second that the target accepts from all instances together, as a decimal number.
+constexpr const char* kServerLimit = "Server-Limit";
+//! "1" while the target is shutting down.
+constexpr const char* kServerLeaving = "Server-Leaving";
+
 constexpr std::uint32_t kMisdirected = 421;
 constexpr std::uint32_t kFirstSuccess = 200;
 constexpr std::uint32_t kFirstRedirect = 300;
@@ -51,6 +59,17 @@
   return count < 0 ? 0 : static_cast<std::uint64_t>(count);
 }
 
+//! Parses a non-negative, finite decimal number; nullopt for any other text.
+std::optional<double> ParseRate(std::string_view aText)
+{
+  double rate = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, rate);
+  const bool isValid =
+    parsed.ec == std::errc() && parsed.ptr == end && std::isfinite(rate) && rate >= 0;
+  return isValid ? std::optional(rate) : std::nullopt;
+}
+
 std::string FormatSeconds(common::Duration aDuration)
 {
   constexpr std::size_t kSize = 32;
@@ -131,4 +150,16 @@
   return isValid ? AnswerVerdict::kValid : AnswerVerdict::kInvalid;
 }
 
+dialect::TargetNotice PlatformTargetDialect::ReadNotice(const http::ResponseHead& aAnswer) const
+{
+  dialect::TargetNotice notice;
+  const std::string_view limit = http::FindHeader(aAnswer.headers_, kServerLimit);
+  if (!limit.empty()) {
+    notice.maxRequestsPerSecond_ = ParseRate(limit);
+    notice.hasInvalidLimit_ = !notice.maxRequestsPerSecond_;
+  }
+  notice.isLeaving_ = http::FindHeader(aAnswer.headers_, kServerLeaving) == "1";
+  return notice;
+}
+
 } // namespace dandelionstand::platform
--- a/src/dandelionstand/platform/PlatformDialect.h
+++ b/src/dandelionstand/platform/PlatformDialect.h
@@ -29,6 +29,7 @@
                              const dialect::TargetCall& aCall) const override;
   dialect::AnswerVerdict ClassifyAnswer(const http::Headers& aSent,
                                         const http::ResponseHead& aAnswer) const override;
+  dialect::TargetNotice ReadNotice(const http::ResponseHead& aAnswer) const override;
 };
 
 } // namespace dandelionstand::platform
--- a/src/dandelionstand/target/AdmissionQueue.h
+++ b/src/dandelionstand/target/AdmissionQueue.h
@@ -6,6 +6,7 @@
 #include "dandelionstand/target/AttemptKey.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -78,6 +79,10 @@
   virtual SlotActions SetLimits(std::uint32_t aSlots,
                                 std::uint32_t aQueueLength,
                                 common::TimePoint aNow) = 0;
+  //! Limits the rate of starts; nullopt removes the limit. Work that is already running is
+  //! unaffected.
+  virtual SlotActions SetMaxStartRate(std::optional<double> aStartsPerSecond,
+                                      common::TimePoint aNow) = 0;
   //! The target accepts work. After it becomes ready, its usable slots may grow to the full
   //! number over aRampUpDuration.
   virtual SlotActions MarkReady(common::TimePoint aNow, common::Duration aRampUpDuration) = 0;
--- a/src/dandelionstand/target/FairShareQueue.cpp
+++ b/src/dandelionstand/target/FairShareQueue.cpp
@@ -47,6 +47,15 @@
   return actions;
 }
 
+SlotActions FairShareQueue::SetMaxStartRate(std::optional<double> aStartsPerSecond,
+                                            common::TimePoint aNow)
+{
+  pacer_.SetRate(aStartsPerSecond, aNow);
+  SlotActions actions;
+  StartQueued(aNow, actions);
+  return actions;
+}
+
 SlotActions FairShareQueue::MarkReady(common::TimePoint aNow, common::Duration aRampUpDuration)
 {
   settings_.coldStartDuration_ = aRampUpDuration;
@@ -222,6 +231,8 @@
     requiredTime = queue.serviceTime_.MeanPlusTwoDeviations() +
                    queue.serviceTime_.Mean() * (queuedAhead + 1) / share;
   }
+  requiredTime =
+    std::max(requiredTime, pacer_.TimeToStart(QueuedCount(), aNow) + queue.serviceTime_.Mean());
   return aWork.deadline_ <= aNow || aWork.deadline_ - aNow < requiredTime;
 }
 
@@ -275,7 +286,7 @@
 
 void FairShareQueue::StartQueued(common::TimePoint aNow, SlotActions& aActions)
 {
-  while (running_.size() < UsableSlots(aNow)) {
+  while (running_.size() < UsableSlots(aNow) && pacer_.CanStart(aNow)) {
     const std::size_t next = NextClass(aNow);
     if (next == kNoClass) {
       return;
@@ -284,6 +295,7 @@
     const AttemptKey key = queue.queued_.begin()->second;
     queue.queued_.erase(queue.queued_.begin());
     ++queue.running_;
+    pacer_.RecordStart(aNow);
     running_[key] = { static_cast<TrafficClass>(next), aNow };
     aActions.push_back(StartWork{ key });
   }
--- a/src/dandelionstand/target/FairShareQueue.h
+++ b/src/dandelionstand/target/FairShareQueue.h
@@ -3,6 +3,7 @@
 
 #include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/ServiceTime.h"
+#include "dandelionstand/target/StartPacer.h"
 
 #include <array>
 #include <cstdint>
@@ -34,6 +35,8 @@
   SlotActions SetLimits(std::uint32_t aSlots,
                         std::uint32_t aQueueLength,
                         common::TimePoint aNow) override;
+  SlotActions SetMaxStartRate(std::optional<double> aStartsPerSecond,
+                              common::TimePoint aNow) override;
 
   //! The target accepts work. Starts the cold-start ramp unless the target was ready already.
   SlotActions MarkReady(common::TimePoint aNow);
@@ -91,6 +94,7 @@
   std::size_t NextClass(common::TimePoint aNow) const;
 
   FairShareSettings settings_;
+  StartPacer pacer_;
   std::array<ClassQueue, kClassCount> classes_;
   std::map<AttemptKey, RunningWork> running_;
   bool isReady_ = false;
--- a/src/dandelionstand/target/ForwardedCall.cpp
+++ b/src/dandelionstand/target/ForwardedCall.cpp
@@ -69,8 +69,9 @@
   XXH3_freeState(bodyHash_);
 }
 
-void ForwardedCall::Start(common::TimePoint aDeadline, const std::string& aExpectedInstance)
+void ForwardedCall::Start(common::TimePoint aDeadline, const TargetIdentity& aTarget)
 {
+  target_ = aTarget;
   const common::TimePoint now = common::Now();
   startedAt_ = now;
   const bool isIdempotent = request_.idempotency() == peer::wire::IDEMPOTENT;
@@ -78,7 +79,7 @@
   deadlineTimer_ = context_.loop_.After(aDeadline - now, [this] { OnTimeout(); });
   const common::HostAndPort& server = connection_->Server();
   const dialect::TargetCall call{ server.host_ + ":" + std::to_string(server.port_),
-                                  aExpectedInstance,
+                                  aTarget.incarnationId_,
                                   aDeadline - now,
                                   request_.depth() };
   sentHeaders_ = context_.dialect_.WriteHeaders(CallerHeaders(), call);
@@ -120,6 +121,9 @@
 void ForwardedCall::OnHead(http::ResponseHead aHead)
 {
   answerHead_ = std::move(aHead);
+  if (verdict_ == dialect::AnswerVerdict::kValid || verdict_ == dialect::AnswerVerdict::kNotRun) {
+    context_.onNotice_(target_, context_.dialect_.ReadNotice(answerHead_), startedAt_);
+  }
   if (verdict_ != dialect::AnswerVerdict::kValid) {
     return;
   }
--- a/src/dandelionstand/target/ForwardedCall.h
+++ b/src/dandelionstand/target/ForwardedCall.h
@@ -8,6 +8,7 @@
 #include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/AttemptKey.h"
 #include "dandelionstand/target/TargetConnections.h"
+#include "dandelionstand/target/TargetIdentity.h"
 
 #include <xxhash.h>
 
@@ -35,6 +36,11 @@
   //! Called if the target cannot be reached or another target has its address.
   using TargetLostHandler = std::function<void(const std::string& aReason)>;
 
+  //! Called with what the target states in an answer to a request sent at aSentAt.
+  using NoticeHandler = std::function<void(const TargetIdentity& aTarget,
+                                           const dialect::TargetNotice& aNotice,
+                                           common::TimePoint aSentAt)>;
+
   //! The objects shared by all calls to a target.
   struct Context
   {
@@ -44,6 +50,7 @@
     TargetConnections& connections_;
     const dialect::TargetDialect& dialect_;
     TargetLostHandler onTargetLost_;
+    NoticeHandler onNotice_;
   };
 
   ForwardedCall(const Context& aContext,
@@ -57,8 +64,8 @@
   ForwardedCall& operator=(const ForwardedCall&) = delete;
 
   //! Sends the request to the target. aDeadline applies to the answer's head and, unless it is a
-  //! download, to its body. aExpectedInstance is the ID of the target incarnation addressed.
-  void Start(common::TimePoint aDeadline, const std::string& aExpectedInstance);
+  //! download, to its body. aTarget is the target incarnation addressed.
+  void Start(common::TimePoint aDeadline, const TargetIdentity& aTarget);
   void AddCredit(std::uint32_t aBytes);
   const peer::PeerRef& CallerDaemon() const { return callerDaemon_; }
   //! The request, without its body once Start() was called.
@@ -90,6 +97,7 @@
   http::ResponseHead answerHead_;
   dialect::AnswerVerdict verdict_ = dialect::AnswerVerdict::kValid;
   common::TimePoint startedAt_;
+  TargetIdentity target_;
   std::unique_ptr<common::Watch> deadlineTimer_;
   std::unique_ptr<common::Watch> idleTimer_;
   std::unique_ptr<common::Watch> finishTimer_;
--- a/src/dandelionstand/target/TargetAnnouncement.h
+++ b/src/dandelionstand/target/TargetAnnouncement.h
@@ -3,6 +3,7 @@
 
 #include "dandelionstand/common/Ids.h"
 #include "dandelionstand/common/Time.h"
+#include "dandelionstand/target/TargetIdentity.h"
 
 #include <cstdint>
 #include <string>
@@ -29,6 +30,8 @@
   std::uint32_t slots_ = 0;                  //!< Number of requests that it runs concurrently.
   common::Duration remainingColdStart_{ 0 }; //!< How much longer it is slow after its start.
   TargetPhase phase_ = TargetPhase::kReady;
+
+  TargetIdentity Identity() const { return { incarnationId_, startedAtMs_ }; }
 };
 
 } // namespace dandelionstand::target
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -7,6 +7,7 @@
 #include "dandelionstand/common/Milliseconds.h"
 #include "dandelionstand/peer/generated/envelope.pb.h"
 #include "dandelionstand/target/ForwardedCall.h"
+#include "dandelionstand/target/WireNotice.h"
 
 #include <sigc++/functors/mem_fun.h>
 
@@ -49,10 +50,19 @@
             [this](const std::string& aRoute) { return CurrentLoad(aRoute); })
   , connections_(aLoop)
   , queue_(std::move(aQueue))
-  , callContext_{ aLoop,    aCounters,
-                  sender_,  connections_,
-                  aDialect, [this](const std::string& aReason) {
-                   targetLost_.emit(aReason); } }
+  , callContext_{ aLoop,
+                  aCounters,
+                  sender_,
+                  connections_,
+                  aDialect,
+                  [this](const std::string& aReason) { targetLost_.emit(aReason); },
+                  [this](const TargetIdentity& aTarget,
+                         const dialect::TargetNotice& aNotice,
+                         common::TimePoint aSentAt) {
+                    counters_.Add("target_notices_invalid_total", aNotice.hasInvalidLimit_ ? 1 : 0);
+                    notices_.OnAnswer(aTarget, aNotice, aSentAt, common::Now());
+                    ApplyNotice("answer");
+                  } }
 {
   transport_.Received().connect(sigc::mem_fun(*this, &TargetForwarder::OnEnvelope));
   tickTimer_ = loop_.Every(kTickInterval, [this] { Tick(); });
@@ -66,10 +76,12 @@
 
 void TargetForwarder::SetTarget(const Target& aTarget)
 {
-  if (aTarget.incarnationId_ != target_.incarnationId_) {
+  if (aTarget.identity_ != target_.identity_) {
     connections_.CloseIdle();
   }
   target_ = aTarget;
+  notices_.SetTarget(aTarget.identity_);
+  ApplyNotice("target-changed");
   common::HostAndPort address;
   RefreshLimits();
   if (!common::ParseAddress(aTarget.address_.Get(), address)) {
@@ -105,6 +117,11 @@
                                   const AttemptKey& aKey,
                                   const peer::wire::CallStart& aStart)
 {
+  if (aStart.has_remembered_notice()) {
+    const peer::wire::TargetNotice& notice = aStart.remembered_notice();
+    notices_.OnRemembered(ParseIdentity(notice), ParseNotice(notice));
+    ApplyNotice("remembered");
+  }
   if (aStart.target_incarnation() != daemonIncarnation_.Get()) {
     Refuse(aCallerDaemon, aKey, aStart, "wrong-incarnation");
     return;
@@ -183,7 +200,7 @@
                          start->key_.attempt_ > 1,
                          entry.startedAt_ > entry.objective_);
       sender_.Reserve(entry.call_->Request().route(), start->key_);
-      entry.call_->Start(entry.deadline_, target_.incarnationId_);
+      entry.call_->Start(entry.deadline_, target_.identity_);
     } else if (const auto* refusal = std::get_if<RefuseWork>(&action)) {
       const auto found = calls_.find(refusal->key_);
       const ForwardedCall& call = *found->second.call_;
@@ -217,6 +234,31 @@
   sender_.SendFailed(aRecipient, aKey, aStart.route(), aReason, peer::wire::NOT_RUN);
 }
 
+void TargetForwarder::ApplyNotice(const char* aSource)
+{
+  const dialect::TargetNotice notice = notices_.Current();
+  if (notice == appliedNotice_) {
+    return;
+  }
+  const dialect::TargetNotice previous = std::exchange(appliedNotice_, notice);
+  const auto toText = [](const std::optional<double>& aRate) {
+    return aRate ? std::to_string(*aRate) : std::string("none");
+  };
+  common::LogEvent(common::Severity::kInfo,
+                   "target_notice",
+                   { { "start", notices_.Target().incarnationId_ },
+                     { "source", aSource },
+                     { "max_requests_per_s", toText(notice.maxRequestsPerSecond_) },
+                     { "previous", toText(previous.maxRequestsPerSecond_) },
+                     { "leaving", notice.isLeaving_ ? "yes" : "no" } });
+  if (notice.maxRequestsPerSecond_ != previous.maxRequestsPerSecond_) {
+    Apply(queue_->SetMaxStartRate(notice.maxRequestsPerSecond_, common::Now()));
+  }
+  if (notice.isLeaving_ && !previous.isLeaving_) {
+    targetLeaving_.emit(notices_.Target());
+  }
+}
+
 void TargetForwarder::RefreshLimits()
 {
   const config::ConfigStatePtr config = configSource_();
@@ -293,6 +335,7 @@
   const common::Duration workTime =
     queue_->MeanServiceTime(aRoute) + sender_.TransferTime(aRoute, common::InstanceId());
   load.set_work_time_us(static_cast<std::uint32_t>(workTime.count()));
+  WriteNotice(notices_, load);
   return load;
 }
 
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -7,6 +7,7 @@
 #include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/AnswerSender.h"
 #include "dandelionstand/target/ForwardedCall.h"
+#include "dandelionstand/target/NoticeTracker.h"
 #include "dandelionstand/target/RouteUsage.h"
 #include "dandelionstand/target/TargetConnections.h"
 
@@ -17,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace dandelionstand::common {
 class Counters;
@@ -56,9 +58,9 @@
   struct Target
   {
     common::ServiceName service_;
-    common::Address address_;   //!< Empty if no target accepts work.
-    std::string incarnationId_; //!< Sent with each request, so that no later incarnation runs it.
-    std::uint32_t slots_ = 0;   //!< 0: use the limits of its service.
+    common::Address address_; //!< Empty if no target accepts work.
+    TargetIdentity identity_; //!< Sent with each request, so that no later incarnation runs it.
+    std::uint32_t slots_ = 0; //!< 0: use the limits of its service.
     //! Time over which the usable slots grow to the full number after a start.
     common::Duration rampUpDuration_ = std::chrono::seconds(5);
   };
@@ -67,6 +69,13 @@
   void SetTarget(const Target& aTarget);
   //! Emitted if the target cannot be reached or another target has its address.
   sigc::signal<void, const std::string&>& TargetLost() { return targetLost_; }
+  //! Emitted if the target states in an answer that it is leaving.
+  sigc::signal<void, const TargetIdentity&>& TargetLeaving() { return targetLeaving_; }
+  //! Requests per second that the target accepts; nullopt if it names no limit.
+  std::optional<double> MaxRequestsPerSecond() const
+  {
+    return notices_.Current().maxRequestsPerSecond_;
+  }
   //! Refuses new calls as not run. Calls in flight continue.
   void StartDrain();
   //! Calls whose answers are not sent completely.
@@ -99,6 +108,7 @@
               const AttemptKey& aKey,
               const peer::wire::CallStart& aStart,
               std::string_view aReason);
+  void ApplyNotice(const char* aSource);
   void RefreshLimits();
   void Tick();
   void LogUsage();
@@ -115,6 +125,9 @@
   Target target_;
   ForwardedCall::Context callContext_;
   sigc::signal<void, const std::string&> targetLost_;
+  sigc::signal<void, const TargetIdentity&> targetLeaving_;
+  NoticeTracker notices_;
+  dialect::TargetNotice appliedNotice_;
   std::map<AttemptKey, CallEntry> calls_;
   RouteUsage usage_;
   std::uint64_t loggedSentBytes_ = 0;
--- a/src/dandelionstand/target/TargetMonitor.cpp
+++ b/src/dandelionstand/target/TargetMonitor.cpp
@@ -27,6 +27,7 @@
   , record_(kSilenceTimeout)
 {
   forwarder_.TargetLost().connect(sigc::mem_fun(*this, &TargetMonitor::OnTargetLost));
+  forwarder_.TargetLeaving().connect(sigc::mem_fun(*this, &TargetMonitor::OnTargetLeaving));
   updateTimer_ = aLoop.Every(kUpdateInterval, [this] { Update("silent"); });
 }
 
@@ -53,6 +54,12 @@
   Update(aReason.c_str());
 }
 
+void TargetMonitor::OnTargetLeaving(const TargetIdentity& aTarget)
+{
+  record_.MarkLeaving(aTarget);
+  Update("answer-leaving");
+}
+
 void TargetMonitor::Update(const char* aCause)
 {
   const TargetAnnouncement* latest = record_.Latest();
@@ -63,12 +70,12 @@
   const bool isReady = record_.IsReady(now);
   const bool isUnchanged =
     isReady == isReady_ &&
-    (!isReady || (readyIncarnationId_ == latest->incarnationId_ && slots_ == latest->slots_));
+    (!isReady || (readyTarget_ == latest->Identity() && slots_ == latest->slots_));
   if (isUnchanged) {
     return;
   }
   isReady_ = isReady;
-  readyIncarnationId_ = isReady ? latest->incarnationId_ : "";
+  readyTarget_ = isReady ? latest->Identity() : TargetIdentity();
   slots_ = latest->slots_;
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(record_.Age(now)).count();
   common::LogEvent(common::Severity::kInfo,
@@ -82,7 +89,7 @@
   TargetForwarder::Target target;
   target.service_ = latest->service_;
   target.address_ = isReady ? latest->address_ : common::Address();
-  target.incarnationId_ = latest->incarnationId_;
+  target.identity_ = latest->Identity();
   target.slots_ = latest->slots_;
   // All slots are usable at once: a cold target is slower, but that shows in its measured service
   // time.
--- a/src/dandelionstand/target/TargetRecord.cpp
+++ b/src/dandelionstand/target/TargetRecord.cpp
@@ -71,6 +71,13 @@
   return ApplyResult::kApplied;
 }
 
+void TargetRecord::MarkLeaving(const TargetIdentity& aTarget)
+{
+  if (latest_ && latest_->Identity() == aTarget) {
+    latest_->phase_ = std::max(latest_->phase_, TargetPhase::kDraining);
+  }
+}
+
 bool TargetRecord::IsReady(common::TimePoint aNow) const
 {
   return latest_ && latest_->phase_ == TargetPhase::kReady && isReachable_ &&
--- a/src/dandelionstand/target/TargetRecord.h
+++ b/src/dandelionstand/target/TargetRecord.h
@@ -3,6 +3,7 @@
 
 #include "dandelionstand/common/Time.h"
 #include "dandelionstand/target/TargetAnnouncement.h"
+#include "dandelionstand/target/TargetIdentity.h"
 
 #include <optional>
 
@@ -33,6 +34,9 @@
   //! announcement.
   void MarkUnreachable() { isReachable_ = false; }
 
+  //! The target itself stated in an answer that it is leaving. Ignored for another incarnation.
+  void MarkLeaving(const TargetIdentity& aTarget);
+
   bool IsReady(common::TimePoint aNow) const;
   //! The latest announcement, or null before the first one.
   const TargetAnnouncement* Latest() const { return latest_ ? &*latest_ : nullptr; }
--- a/src/dandelionstand/target/UrgencyQueue.cpp
+++ b/src/dandelionstand/target/UrgencyQueue.cpp
@@ -24,6 +24,15 @@
   return actions;
 }
 
+SlotActions UrgencyQueue::SetMaxStartRate(std::optional<double> aStartsPerSecond,
+                                          common::TimePoint aNow)
+{
+  pacer_.SetRate(aStartsPerSecond, aNow);
+  SlotActions actions;
+  StartQueued(aNow, actions);
+  return actions;
+}
+
 SlotActions UrgencyQueue::MarkReady(common::TimePoint aNow, common::Duration)
 {
   isReady_ = true;
@@ -71,7 +80,7 @@
     // Answers leave in order, so a late one would also delay those that could be on time.
     return refuse(aWork.mayMissObjective_ ? RefusalReason::kQueueFull : RefusalReason::kBusy);
   }
-  if (running_.size() < slots_) {
+  if (CanStart(aNow)) {
     Start(aWork, aNow, actions);
     return actions;
   }
@@ -117,7 +126,21 @@
 
 std::uint32_t UrgencyQueue::UsableSlots(common::TimePoint) const
 {
-  return isReady_ ? slots_ : 0;
+  if (!isReady_) {
+    return 0;
+  }
+  if (!pacer_.Rate()) {
+    return slots_;
+  }
+  // At a limited rate no more slots are in use at a time than starts during one service time.
+  const double used = *pacer_.Rate() * static_cast<double>(overallTime_.Mean().count()) /
+                      static_cast<double>(common::Duration(std::chrono::seconds(1)).count());
+  return std::clamp(static_cast<std::uint32_t>(std::min<double>(used, slots_)), 1U, slots_);
+}
+
+bool UrgencyQueue::CanStart(common::TimePoint aNow) const
+{
+  return running_.size() < slots_ && pacer_.CanStart(aNow);
 }
 
 common::Duration UrgencyQueue::MeanServiceTime(const std::string& aRoute) const
@@ -150,17 +173,19 @@
 
 common::Duration UrgencyQueue::EstimatedWait(const Work& aWork, common::TimePoint aNow) const
 {
-  if (running_.size() < slots_) {
+  if (CanStart(aNow)) {
     return {};
   }
   // Assumes that slots become free evenly, one per mean service time / number of slots.
-  common::Duration workAhead = overallTime_.Mean();
+  common::Duration workAhead = running_.size() < slots_ ? common::Duration(0) : overallTime_.Mean();
+  std::size_t countAhead = 0;
   for (const Work& other : queued_) {
     if (!HasPriorityOver(aWork, other, aNow)) {
       workAhead += MeanServiceTime(other.route_);
+      ++countAhead;
     }
   }
-  return workAhead / slots_;
+  return std::max(workAhead / slots_, pacer_.TimeToStart(countAhead, aNow));
 }
 
 bool UrgencyQueue::HasRoomForOverdue(const Work& aWork, common::TimePoint aNow) const
@@ -172,15 +197,18 @@
   if (overdueShare_ < kMinOverdueShare) {
     return false;
   }
-  const auto wait = common::Duration(static_cast<common::Duration::rep>(
-    static_cast<double>((overallTime_.Mean() * (overdueCount + 1) / slots_).count()) /
-    overdueShare_));
+  const common::Duration ownWait =
+    std::max(overallTime_.Mean() * (overdueCount + 1) / slots_,
+             pacer_.TimeToStart(static_cast<std::size_t>(overdueCount), aNow));
+  const auto wait = common::Duration(
+    static_cast<common::Duration::rep>(static_cast<double>(ownWait.count()) / overdueShare_));
   return aNow + wait + MeanServiceTime(aWork.route_) <= aWork.deadline_;
 }
 
 void UrgencyQueue::Start(const Work& aWork, common::TimePoint aNow, SlotActions& aActions)
 {
   running_[aWork.key_] = { aWork.route_, aNow };
+  pacer_.RecordStart(aNow);
   RecordStart(!MeetsObjective(aWork, aNow), aNow);
   aActions.push_back(StartWork{ aWork.key_ });
 }
@@ -194,7 +222,7 @@
 
 void UrgencyQueue::StartQueued(common::TimePoint aNow, SlotActions& aActions)
 {
-  while (isReady_ && running_.size() < slots_ && !queued_.empty()) {
+  while (isReady_ && CanStart(aNow) && !queued_.empty()) {
     const auto best =
       std::min_element(queued_.begin(), queued_.end(), [&](const Work& aLhs, const Work& aRhs) {
         return HasPriorityOver(aLhs, aRhs, aNow);
--- a/src/dandelionstand/target/UrgencyQueue.h
+++ b/src/dandelionstand/target/UrgencyQueue.h
@@ -3,6 +3,7 @@
 
 #include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/ServiceTime.h"
+#include "dandelionstand/target/StartPacer.h"
 
 #include <map>
 
@@ -22,6 +23,8 @@
   SlotActions SetLimits(std::uint32_t aSlots,
                         std::uint32_t aQueueLength,
                         common::TimePoint aNow) override;
+  SlotActions SetMaxStartRate(std::optional<double> aStartsPerSecond,
+                              common::TimePoint aNow) override;
   SlotActions MarkReady(common::TimePoint aNow, common::Duration aRampUpDuration) override;
   SlotActions MarkNotReady(common::TimePoint aNow) override;
   SlotActions MarkDraining(common::TimePoint aNow) override;
@@ -45,6 +48,7 @@
 
   bool MeetsObjective(const Work& aWork, common::TimePoint aStart) const;
   bool HasPriorityOver(const Work& aLhs, const Work& aRhs, common::TimePoint aNow) const;
+  bool CanStart(common::TimePoint aNow) const;
   common::Duration EstimatedWait(const Work& aWork, common::TimePoint aNow) const;
   bool HasRoomForOverdue(const Work& aWork, common::TimePoint aNow) const;
   void Start(const Work& aWork, common::TimePoint aNow, SlotActions& aActions);
@@ -54,6 +58,7 @@
   void RecordStart(bool aIsOverdue, common::TimePoint aNow);
 
   std::uint32_t slots_ = 1;
+  StartPacer pacer_;
   bool isReady_ = false;
   bool isDraining_ = false;
   std::vector<Work> queued_;
--- a/standins/endpoint/EndpointServer.cpp
+++ b/standins/endpoint/EndpointServer.cpp
@@ -73,7 +73,9 @@
                                        const http::Request& aRequest)
 {
   if (aRequest.target_ == "/runs") {
-    const nlohmann::json answer{ { "runs", runs_ }, { "acknowledged", acknowledged_ } };
+    const nlohmann::json answer{ { "runs", runs_ },
+                                 { "arrivals", arrivals_ },
+                                 { "acknowledged", acknowledged_ } };
     aExchange.Reply({ kOk, {} }, answer.dump());
     return true;
   }
@@ -93,6 +95,8 @@
   reader.Read("work_ms", behaviour_.workDuration_);
   reader.Read("sheds", behaviour_.isShedding_);
   reader.Read("is_silent", behaviour_.isHeartbeatStopped_);
+  reader.Read("limit", behaviour_.limit_);
+  reader.Read("leaving", behaviour_.isLeaving_);
   reader.Read("answer", behaviour_.answerMode_);
   reader.RejectUnknownKeys();
   if (behaviour_.state_ == "gone" && previousState != "gone") {
@@ -104,6 +108,7 @@
 
 void EndpointServer::StartRequest(http::ServerExchange& aExchange, const http::Request& aRequest)
 {
+  arrivals_.push_back(common::WallClockMs() - startedAtMs_);
   ++runs_[PlatformHeader(aRequest, "Request-Id")];
   auto activeRequest =
     std::make_shared<ActiveRequest>(ActiveRequest{ &aExchange, aRequest, nullptr });
@@ -116,6 +121,18 @@
   });
 }
 
+http::Headers EndpointServer::NoticeHeaders() const
+{
+  http::Headers headers;
+  if (behaviour_.limit_ > 0) {
+    headers.push_back({ "Server-Limit", std::to_string(behaviour_.limit_) + ".0" });
+  }
+  if (behaviour_.isLeaving_) {
+    headers.push_back({ "Server-Leaving", "1" });
+  }
+  return headers;
+}
+
 void EndpointServer::Answer(const std::shared_ptr<ActiveRequest>& aActiveRequest)
 {
   http::ServerExchange* exchange = aActiveRequest->exchange_;
@@ -136,6 +153,9 @@
     head.headers_.push_back(
       { kHeaderPrefix + "Response-Signature", "signed " + settings_.instanceId_ });
   }
+  for (http::Header& header : NoticeHeaders()) {
+    head.headers_.push_back(std::move(header));
+  }
   const std::string text = body.dump();
   if (behaviour_.answerMode_ == "reset") {
     exchange->Abort();
--- a/standins/endpoint/EndpointServer.h
+++ b/standins/endpoint/EndpointServer.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace dandelionstand::standins {
 
@@ -21,7 +22,9 @@
   common::Duration workDuration_{ 0 }; //!< Work time per request.
   bool isShedding_ = false;            //!< Refuses every request as not executed.
   bool isHeartbeatStopped_ = false;    //!< Sends no heartbeats.
-  std::string answerMode_ = "whole";   //!< "whole", "unsigned", "cut", "reset", "open" or "error".
+  std::uint64_t limit_ = 0; //!< Requests per second that its answers name; 0: they name none.
+  bool isLeaving_ = false;  //!< Its answers state that it is leaving.
+  std::string answerMode_ = "whole"; //!< "whole", "unsigned", "cut", "reset", "open" or "error".
 };
 
 struct EndpointSettings
@@ -51,6 +54,8 @@
   bool HandleTestRequest(http::ServerExchange& aExchange, const http::Request& aRequest);
   void SetBehaviour(const std::string& aText);
   void StartRequest(http::ServerExchange& aExchange, const http::Request& aRequest);
+  //! The headers by which it states its limit and that it is leaving.
+  http::Headers NoticeHeaders() const;
   void Answer(const std::shared_ptr<ActiveRequest>& aActiveRequest);
   void SendHeartbeat();
   void SendLeave();
@@ -63,6 +68,7 @@
   std::uint64_t startedAtMs_;
   std::uint64_t sequence_ = 0;
   std::map<std::string, std::uint64_t> runs_; //!< Number of runs by request id.
+  std::vector<std::uint64_t> arrivals_;       //!< Times of the runs, in ms since the start.
   std::uint64_t acknowledged_ = 0;            //!< Heartbeats and leaves that the daemon accepted.
   std::unique_ptr<common::Watch> heartbeatTimer_;
 };
--- a/tests/integration/PlatformSite.cpp
+++ b/tests/integration/PlatformSite.cpp
@@ -78,6 +78,11 @@
   return GetJson(endpointAddress_, "/runs").at("runs");
 }
 
+std::vector<std::uint64_t> PlatformInstance::Arrivals() const
+{
+  return GetJson(endpointAddress_, "/runs").at("arrivals").get<std::vector<std::uint64_t>>();
+}
+
 void PlatformInstance::ControlEndpoint(const json& aControl) const
 {
   PostJson(endpointAddress_, "/control", aControl);
--- a/tests/integration/PlatformSite.h
+++ b/tests/integration/PlatformSite.h
@@ -33,6 +33,8 @@
   bool IsReady() const;
   //! Run counts at the endpoint by request id.
   nlohmann::json Runs() const;
+  //! Times at which requests ran at the endpoint, in ms since its start.
+  std::vector<std::uint64_t> Arrivals() const;
   void ControlEndpoint(const nlohmann::json& aControl) const;
 };
 
--- a/tests/integration/PlatformSiteTests.cpp
+++ b/tests/integration/PlatformSiteTests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <csignal>
 
 using namespace dandelionstand;
@@ -237,6 +239,89 @@
   CHECK(reply.Json()["instance"] != "m1-1");
 }
 
+TEST_CASE("An endpoint gets no more requests than the limit that its answers name",
+          "[integration][site][limit]")
+{
+  constexpr std::uint64_t kLimitPerSecond = 5;
+  constexpr std::uint64_t kWindowMs = 4'000;
+  // One and a half times what the limit permits in a window, and 5 requests.
+  constexpr std::size_t kMaxArrivals = kLimitPerSecond * 4 * 3 / 2 + 5;
+  PlatformSite site;
+  REQUIRE(site.WaitUntilServing());
+  site[0].ControlEndpoint({ { "limit", kLimitPerSecond } });
+  site[1].ControlEndpoint({ { "limit", kLimitPerSecond } });
+  for (std::size_t i = 0; i < site.Size(); ++i) {
+    for (int request = 0; request < 10; ++request) {
+      SendRequest(site[i], "learn-" + std::to_string(i) + "-" + std::to_string(request));
+    }
+  }
+  std::this_thread::sleep_for(500ms);
+  const std::size_t arrivalsBefore = site[0].Arrivals().size();
+  std::atomic<bool> isDone = false;
+  std::vector<std::future<void>> clients;
+  for (const std::size_t instance : { 1U, 2U, 1U, 2U }) {
+    const std::size_t number = clients.size();
+    clients.push_back(std::async(std::launch::async, [&site, &isDone, instance, number] {
+      for (int request = 0; !isDone; ++request) {
+        SendRequest(site[instance],
+                    "limit-" + std::to_string(number) + "-" + std::to_string(request),
+                    "GET",
+                    500);
+        std::this_thread::sleep_for(5ms);
+      }
+    }));
+  }
+  std::this_thread::sleep_for(2s);
+  SECTION("all daemons keep running") {}
+  SECTION("the daemon beside it restarts")
+  {
+    site[0].daemon_->Kill();
+    site.StartDaemon(site[0]);
+  }
+  std::this_thread::sleep_for(6s);
+  isDone = true;
+  clients.clear();
+  std::vector<std::uint64_t> arrivals = site[0].Arrivals();
+  arrivals.erase(arrivals.begin(), arrivals.begin() + static_cast<std::ptrdiff_t>(arrivalsBefore));
+  CHECK(arrivals.size() >= 10);
+  for (const std::uint64_t first : arrivals) {
+    const auto count = std::count_if(arrivals.begin(), arrivals.end(), [&](std::uint64_t aAt) {
+      return aAt >= first && aAt < first + kWindowMs;
+    });
+    REQUIRE(static_cast<std::size_t>(count) <= kMaxArrivals);
+  }
+}
+
+TEST_CASE("An endpoint that states in its answers that it leaves gets no more requests",
+          "[integration][site][limit]")
+{
+  PlatformSite site;
+  REQUIRE(site.WaitUntilServing());
+  // The other endpoint of the service leaves, so that requests of the second instance reach this
+  // one. Its heartbeats go on as if it stayed.
+  site[1].ControlEndpoint({ { "state", "gone" } });
+  REQUIRE(WaitUntil([&] {
+    static int count = 0;
+    SendRequest(site[1], "elsewhere-" + std::to_string(++count));
+    return !site[0].Runs().empty() && site[0].Runs().contains("elsewhere-" + std::to_string(count));
+  }));
+  site[0].ControlEndpoint({ { "leaving", true } });
+  REQUIRE(SendRequest(site[1], "learn").status_ == 200);
+  SECTION("all daemons keep running") {}
+  SECTION("the daemon beside it restarts")
+  {
+    site[0].daemon_->Kill();
+    site.StartDaemon(site[0]);
+    REQUIRE(WaitUntil([&] { return site[0].IsReady(); }));
+  }
+  const std::size_t runsBefore = site[0].Runs().size();
+  for (int request = 0; request < 20; ++request) {
+    SendRequest(site[1], "after-" + std::to_string(request));
+    std::this_thread::sleep_for(50ms);
+  }
+  CHECK(site[0].Runs().size() == runsBefore);
+}
+
 TEST_CASE("The logs of all processes trace a request id to its refusal",
           "[integration][site][logs]")
 {
