Believe a refusal only with the id of the request

Cause here: an answer with another request's id was skipped already, but one without any id and with Not-Executed, or with 421, counted as not run. Change: without the id of the request such an answer is invalid, so the outcome is unknown and the connection is closed. Requests that have no id themselves are refused without one, as before.

--- a/src/dandelionstand/platform/PlatformDialect.cpp
+++ b/src/dandelionstand/platform/PlatformDialect.cpp
@@ -138,6 +138,11 @@
   if (!answeredId.empty() && answeredId != sentId) {
     return AnswerVerdict::kOtherRequest;
   }
+  if (answeredId.empty() && !sentId.empty()) {
+    // Without the id it may be an earlier answer once more, so it proves nothing about this
+    // request.
+    return AnswerVerdict::kInvalid;
+  }
   if (aAnswer.status_ == kMisdirected) {
     return AnswerVerdict::kWrongTarget;
   }
@@ -146,8 +151,8 @@
   }
   const bool isSuccess = aAnswer.status_ >= kFirstSuccess && aAnswer.status_ < kFirstRedirect;
   const bool isSigned = !http::FindHeader(aAnswer.headers_, kSignature).empty();
-  const bool isValid = !answeredId.empty() && (isSigned || !isSuccess);
-  return isValid ? AnswerVerdict::kValid : AnswerVerdict::kInvalid;
+  return !answeredId.empty() && (isSigned || !isSuccess) ? AnswerVerdict::kValid
+                                                         : AnswerVerdict::kInvalid;
 }
 
 dialect::TargetNotice PlatformTargetDialect::ReadNotice(const http::ResponseHead& aAnswer) const
--- a/tests/platform/PlatformDialectTests.cpp
+++ b/tests/platform/PlatformDialectTests.cpp
@@ -82,10 +82,21 @@
         AnswerVerdict::kOtherRequest);
   CHECK(ClassifyAnswer(503, { { kRequestId, "1" }, { "X-Dandelionstand-Not-Executed", "1" } }) ==
         AnswerVerdict::kNotRun);
-  CHECK(ClassifyAnswer(503, { { "X-Dandelionstand-Not-Executed", "1" } }) ==
-        AnswerVerdict::kNotRun);
-  CHECK(ClassifyAnswer(421, { { "X-Dandelionstand-Instance-Id", "i-2" } }) ==
+  CHECK(ClassifyAnswer(421, { { kRequestId, "1" }, { "X-Dandelionstand-Instance-Id", "i-2" } }) ==
         AnswerVerdict::kWrongTarget);
   CHECK(ClassifyAnswer(200, { { kRequestId, "1" } }) == AnswerVerdict::kInvalid);
   CHECK(ClassifyAnswer(200, { { kSignature, "s" } }) == AnswerVerdict::kInvalid);
+}
+
+TEST_CASE("An earlier refusal that is written once more says nothing about the next request",
+          "[platform][dialect]")
+{
+  const http::Header notExecuted{ "X-Dandelionstand-Not-Executed", "1" };
+  CHECK(ClassifyAnswer(503, { { kRequestId, "0" }, notExecuted }) == AnswerVerdict::kOtherRequest);
+  CHECK(ClassifyAnswer(503, { notExecuted }) == AnswerVerdict::kInvalid);
+  CHECK(ClassifyAnswer(421, { { "X-Dandelionstand-Instance-Id", "i-2" } }) ==
+        AnswerVerdict::kInvalid);
+  // A request without an id is refused without one.
+  const platform::PlatformTargetDialect dialect;
+  CHECK(dialect.ClassifyAnswer({}, { 400, { notExecuted } }) == AnswerVerdict::kNotRun);
 }
