Reject odd entries by depth and range instead of failing on them

Report: an entry that is nested very deeply, or has a number too large or a port out of range, ended the machines that read it, or stopped them. Cause here: JSON of other writers was copied by recursion, slots were truncated to 32 bits, and one huge sequence number or start time made all later heartbeats stale. Ports out of range were refused already. A start time that is too late but within the range is still believed: open.

--- a/src/dandelionstand/platform/ConfigDocument.cpp
+++ b/src/dandelionstand/platform/ConfigDocument.cpp
@@ -1,5 +1,7 @@
 #include "dandelionstand/platform/ConfigDocument.h"
 
+#include "dandelionstand/platform/PlatformJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -206,7 +208,7 @@
 
 config::ConfigStatePtr DecodeConfigDocument(const std::string& aText, common::Findings& aFindings)
 {
-  const json document = json::parse(aText, nullptr, false);
+  const json document = ParseJson(aText);
   if (!document.is_object()) {
     aFindings.Add({ kSource, 0, "" }, "must be a JSON object");
     return nullptr;
--- a/src/dandelionstand/platform/HttpLog.cpp
+++ b/src/dandelionstand/platform/HttpLog.cpp
@@ -2,6 +2,7 @@
 
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/platform/Base64.h"
+#include "dandelionstand/platform/PlatformJson.h"
 #include "dandelionstand/platform/RecordFrames.h"
 
 #include <event2/http.h>
@@ -52,7 +53,7 @@
 
 std::optional<common::Offset> ParseOffset(const std::string& aBody, const char* aName)
 {
-  return ParseOffset(nlohmann::json::parse(aBody, nullptr, false), aName);
+  return ParseOffset(ParseJson(aBody), aName);
 }
 
 //! Parses an item of a page of newest records; returns nullopt if it is malformed.
@@ -320,7 +321,7 @@
     aPagedRead->callback_(result);
     return;
   }
-  const nlohmann::json page = nlohmann::json::parse(aResponse.body_, nullptr, false);
+  const nlohmann::json page = ParseJson(aResponse.body_);
   const std::optional<common::Offset> next = ParseOffset(page, "end-offset");
   if (!next || !page.contains("items") || !page["items"].is_array()) {
     ReportMalformed(aPagedRead->topic_, "newest records without items or end");
--- a/src/dandelionstand/platform/TargetReport.cpp
+++ b/src/dandelionstand/platform/TargetReport.cpp
@@ -1,6 +1,7 @@
 #include "dandelionstand/platform/TargetReport.h"
 
 #include "dandelionstand/common/HttpServer.h"
+#include "dandelionstand/platform/PlatformJson.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,12 @@
 
 constexpr const char* kSource = "heartbeat";
 constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr std::uint64_t kMaxSlots = 100'000;
+//! A sequence number is used about once a second.
+constexpr std::uint64_t kMaxSequence = 10'000'000'000;
+//! End of the year 9999, in ms since the epoch.
+constexpr std::uint64_t kMaxStartTimeMs = 253'402'300'799'999;
+constexpr double kMaxColdStartSeconds = 86'400;
 
 class BodyReader
 {
@@ -32,13 +39,29 @@
                    : AddFinding(aName, "must be a non-empty string");
   }
 
-  std::uint64_t ReadUnsigned(const char* aName)
+  std::uint64_t ReadUnsigned(const char* aName, std::uint64_t aMax)
   {
-    if (body_.contains(aName) && body_[aName].is_number_unsigned()) {
-      return body_[aName].get<std::uint64_t>();
+    const bool isValid = body_.contains(aName) && body_[aName].is_number_unsigned() &&
+                         body_[aName].get<std::uint64_t>() <= aMax;
+    if (!isValid) {
+      AddFinding(aName, "must be a whole number from 0 to " + std::to_string(aMax));
+      return 0;
     }
-    AddFinding(aName, "must be a non-negative integer");
-    return 0;
+    return body_[aName].get<std::uint64_t>();
+  }
+
+  //! Reads a number of seconds; an absent field is 0.
+  common::Duration ReadSeconds(const char* aName, double aMax)
+  {
+    if (!body_.contains(aName)) {
+      return {};
+    }
+    const json& value = body_[aName];
+    if (!value.is_number() || !(value.get<double>() >= 0) || value.get<double>() > aMax) {
+      AddFinding(aName, "must be a number from 0 to " + std::to_string(aMax));
+      return {};
+    }
+    return common::Duration(std::llround(value.get<double>() * kMicrosecondsPerSecond));
   }
 
   void Report(const char* aName, const std::string& aMessage) { AddFinding(aName, aMessage); }
@@ -73,7 +96,7 @@
                                                           const std::string& aBody,
                                                           common::Findings& aFindings)
 {
-  const json body = json::parse(aBody, nullptr, false);
+  const json body = ParseJson(aBody);
   if (!body.is_object()) {
     aFindings.Add({ kSource, 0, "" }, "must be a JSON object");
     return std::nullopt;
@@ -83,19 +106,13 @@
   announcement.incarnationId_ = aId;
   announcement.service_ = common::ServiceName(reader.ReadString("service"));
   announcement.address_ = common::Address(reader.ReadString("address"));
-  announcement.slots_ = static_cast<std::uint32_t>(reader.ReadUnsigned("slots"));
-  announcement.sequence_ = reader.ReadUnsigned("sequence");
+  announcement.slots_ = static_cast<std::uint32_t>(reader.ReadUnsigned("slots", kMaxSlots));
+  announcement.sequence_ = reader.ReadUnsigned("sequence", kMaxSequence);
   announcement.phase_ = DecodePhase(reader);
   if (body.contains("born")) {
-    announcement.startedAtMs_ = reader.ReadUnsigned("born");
-  }
-  const json coldRemaining = body.value("cold-remaining-s", json(0));
-  if (coldRemaining.is_number() && coldRemaining.get<double>() >= 0) {
-    announcement.remainingColdStart_ =
-      common::Duration(std::llround(coldRemaining.get<double>() * kMicrosecondsPerSecond));
-  } else {
-    reader.Report("cold-remaining-s", "must be a non-negative number");
+    announcement.startedAtMs_ = reader.ReadUnsigned("born", kMaxStartTimeMs);
   }
+  announcement.remainingColdStart_ = reader.ReadSeconds("cold-remaining-s", kMaxColdStartSeconds);
   common::HostAndPort unused;
   if (!common::ParseAddress(announcement.address_.Get(), unused)) {
     reader.Report("address", "must be an IP address and a port");
@@ -111,7 +128,7 @@
   target::TargetAnnouncement announcement;
   announcement.incarnationId_ = aId;
   announcement.phase_ = target::TargetPhase::kGone;
-  const json body = json::parse(aBody, nullptr, false);
+  const json body = ParseJson(aBody);
   if (body.is_object() && body.contains("born") && body["born"].is_number_unsigned()) {
     announcement.startedAtMs_ = body["born"].get<std::uint64_t>();
   }
--- a/tests/platform/ConfigDocumentTests.cpp
+++ b/tests/platform/ConfigDocumentTests.cpp
@@ -85,3 +85,17 @@
   REQUIRE(state);
   CHECK(state->routes_.at(RouteName("r")).value_.idempotency_ == Idempotency::kOnce);
 }
+
+TEST_CASE("A document with deep nesting is rejected", "[platform][document]")
+{
+  constexpr std::size_t kDepth = 1'000'000;
+  const std::string deepArray = std::string(kDepth, '[') + std::string(kDepth, ']');
+  for (const char* table : { "routes", "services", "limits" }) {
+    INFO(table);
+    common::Findings findings;
+    const std::string text =
+      R"({"version":"00000001",")" + std::string(table) + R"(":)" + deepArray + "}";
+    CHECK(platform::DecodeConfigDocument(text, findings) == nullptr);
+    CHECK_FALSE(findings.IsEmpty());
+  }
+}
--- a/tests/platform/TargetReportTests.cpp
+++ b/tests/platform/TargetReportTests.cpp
@@ -52,6 +52,40 @@
   }
 }
 
+TEST_CASE("A heartbeat with deep nesting, a number out of range or a bad port is rejected",
+          "[platform][report]")
+{
+  const auto bodyWith = [](const std::string& aField, const std::string& aValue) {
+    std::string body = kHeartbeat;
+    const std::size_t start = body.find("\"" + aField + "\":") + aField.size() + 3;
+    return body.replace(start, body.find_first_of(",}", start) - start, aValue);
+  };
+  // Copying or writing a value of this depth exhausts the stack.
+  constexpr std::size_t kDepth = 1'000'000;
+  const std::string deepArray = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string cases[] = {
+    bodyWith("cold-remaining-s", deepArray),
+    bodyWith("service", deepArray),
+    deepArray,
+    std::string(kDepth, '['),
+    bodyWith("slots", "4294967297"),
+    bodyWith("slots", "1e30"),
+    bodyWith("sequence", "18446744073709551615"),
+    bodyWith("sequence", "99999999999999999999999"),
+    bodyWith("born", "18446744073709551615"),
+    bodyWith("cold-remaining-s", "1e300"),
+    bodyWith("address", "\"10.0.0.9:65536\""),
+    bodyWith("address", "\"10.0.0.9:-1\""),
+  };
+  for (const std::string& body : cases) {
+    INFO(body.substr(0, 200));
+    common::Findings findings;
+    CHECK_FALSE(platform::DecodeHeartbeat("i-1", body, findings));
+    CHECK_FALSE(findings.IsEmpty());
+  }
+  CHECK(platform::DecodeLeave("i-1", deepArray).phase_ == target::TargetPhase::kGone);
+}
+
 TEST_CASE("A leave report may have an empty body", "[platform][report]")
 {
   CHECK(platform::DecodeLeave("i-1", "").phase_ == target::TargetPhase::kGone);
