Decide claims by instance and incarnation

Callers saw: keyed orders refused with claim-timeout, or (from the code) a key run at two daemons. Cause: claim batches were told apart by the incarnation number alone, the wall-clock microsecond of the start. Two daemons that started in the same microsecond shared it: the batches of one counted as duplicates of the other's, and its releases freed the other's keys. Change: batches and releases are matched by instance and incarnation, as ClaimHolder already was. Test: caller_tests "Claims of two daemons that started at the same moment are both decided": red before (one claim never decided, a key won twice after a foreign release), green after.

--- a/src/dandelionstand/caller/Claims.cpp
+++ b/src/dandelionstand/caller/Claims.cpp
@@ -355,7 +355,8 @@
   for (const std::uint64_t number : batch.released()) {
     for (auto entry = claimedKeys_.begin(); entry != claimedKeys_.end(); ++entry) {
       const ClaimHolder& known = entry->second.holder_;
-      if (known.incarnation_ == holder.incarnation_ && known.number_.Get() == number) {
+      if (known.instance_ == holder.instance_ && known.incarnation_ == holder.incarnation_ &&
+          known.number_.Get() == number) {
         claimedKeys_.erase(entry);
         break;
       }
@@ -429,7 +430,8 @@
   if (count == 0) {
     return true;
   }
-  LastClaim& last = lastClaims_[common::Incarnation(aBatch.incarnation())];
+  LastClaim& last = lastClaims_[{ common::InstanceId(aBatch.instance()),
+                                  common::Incarnation(aBatch.incarnation()) }];
   if (aBatch.first_number() <= last.number_) {
     return true;
   }
--- a/src/dandelionstand/caller/Claims.h
+++ b/src/dandelionstand/caller/Claims.h
@@ -183,8 +183,9 @@
 
   ClaimSettings settings_;
   std::map<KeyHash, ClaimedKey> claimedKeys_;
-  //! Newest claim seen of each incarnation; a batch that does not start above it is a duplicate.
-  std::map<common::Incarnation, LastClaim> lastClaims_;
+  //! Newest claim seen of each daemon; a batch that does not start above it is a duplicate. Daemons
+  //! that start at the same moment have the same incarnation number.
+  std::map<std::pair<common::InstanceId, common::Incarnation>, LastClaim> lastClaims_;
   PendingClaims queued_;      //!< Not yet sent to the log.
   PendingClaims unconfirmed_; //!< Sent to the log; their record has not been read back yet.
   std::vector<ClaimNumber> pendingReleases_;
--- a/tests/caller/ClaimsTests.cpp
+++ b/tests/caller/ClaimsTests.cpp
@@ -51,8 +51,12 @@
 {
 public:
   Claimant(std::uint64_t aIncarnation, FakeStream& aStream)
+    : Claimant("i" + std::to_string(aIncarnation), aIncarnation, aStream)
+  {
+  }
+  Claimant(const std::string& aInstance, std::uint64_t aIncarnation, FakeStream& aStream)
     : stream_(aStream)
-    , claims_(MakeSettings(aIncarnation))
+    , claims_(MakeSettings(aInstance, aIncarnation))
   {
   }
 
@@ -99,10 +103,10 @@
   std::size_t appends_ = 0;
 
 private:
-  static ClaimSettings MakeSettings(std::uint64_t aIncarnation)
+  static ClaimSettings MakeSettings(const std::string& aInstance, std::uint64_t aIncarnation)
   {
     ClaimSettings settings;
-    settings.self_ = { common::InstanceId("i" + std::to_string(aIncarnation)),
+    settings.self_ = { common::InstanceId(aInstance),
                        common::Incarnation(aIncarnation),
                        common::Address("127.0.0.1:1"),
                        {} };
@@ -215,6 +219,37 @@
   }
 }
 
+TEST_CASE("Claims of two daemons that started at the same moment are both decided",
+          "[caller][claims]")
+{
+  FakeStream stream;
+  Claimant one("i1", 1, stream);
+  Claimant two("i2", 1, stream);
+  const auto exchange = [&] {
+    for (int round = 0; round < 20; ++round) {
+      one.AdvanceTime(50ms);
+      one.AnswerRequests();
+      two.AdvanceTime(50ms);
+      two.AnswerRequests();
+    }
+  };
+  exchange();
+  one.Claim(1, 11);
+  two.Claim(1, 12);
+  exchange();
+  CHECK(one.won_ == std::set<std::uint64_t>{ 1 });
+  CHECK(two.won_ == std::set<std::uint64_t>{ 1 });
+  SECTION("a release frees only the key of the daemon that releases it")
+  {
+    one.Release(1);
+    exchange();
+    one.Claim(2, 12);
+    exchange();
+    CHECK(one.won_ == std::set<std::uint64_t>{ 1 });
+    CHECK(one.lostTo_.contains(2));
+  }
+}
+
 TEST_CASE("Queued claims are appended as one record", "[caller][claims]")
 {
   FakeStream stream;
