--- a/src/dandelionstand/dialect/NativeDialect.cpp
+++ b/src/dandelionstand/dialect/NativeDialect.cpp
@@ -39,6 +39,7 @@
 {
   CallerRequest result;
   result.method_ = std::move(aRequest.method_);
+  result.clientHost_ = std::move(aRequest.clientHost_);
   result.host_ = http::FindHeader(aRequest.headers_, "Host");
   result.path_ = aRequest.Path();
   result.target_ = std::move(aRequest.target_);
@@ -88,4 +89,9 @@
   return isShed ? AnswerVerdict::kNotRun : AnswerVerdict::kValid;
 }
 
+TargetNotice NativeTargetDialect::ReadNotice(const http::ResponseHead&) const
+{
+  return {};
+}
+
 } // namespace dandelionstand::dialect
--- a/src/dandelionstand/target/ForwardedCall.cpp
+++ b/src/dandelionstand/target/ForwardedCall.cpp
@@ -15,7 +15,11 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
-constexpr std::size_t kMaxFrameBytes = 64UL * 1024;
+//! Small, so that other messages are sent between the frames of a large body.
+constexpr std::size_t kMaxFrameBytes = 16UL * 1024;
+
+//! Longer bodies of refusals are not read to their end.
+constexpr std::size_t kMaxDiscardedBytes = 64UL * 1024;
 
 //! Maximum time without data from the target during a download, after which the target is taken
 //! to be unresponsive.
@@ -68,8 +72,9 @@
   XXH3_freeState(bodyHash_);
 }
 
-void ForwardedCall::Start(common::TimePoint aDeadline, const std::string& aExpectedInstance)
+void ForwardedCall::Start(common::TimePoint aDeadline, const TargetIdentity& aTarget)
 {
+  target_ = aTarget;
   const common::TimePoint now = common::Now();
   startedAt_ = now;
   const bool isIdempotent = request_.idempotency() == peer::wire::IDEMPOTENT;
@@ -77,7 +82,7 @@
   deadlineTimer_ = context_.loop_.After(aDeadline - now, [this] { OnTimeout(); });
   const common::HostAndPort& server = connection_->Server();
   const dialect::TargetCall call{ server.host_ + ":" + std::to_string(server.port_),
-                                  aExpectedInstance,
+                                  aTarget.incarnationId_,
                                   aDeadline - now,
                                   request_.depth() };
   sentHeaders_ = context_.dialect_.WriteHeaders(CallerHeaders(), call);
@@ -119,6 +124,13 @@
 void ForwardedCall::OnHead(http::ResponseHead aHead)
 {
   answerHead_ = std::move(aHead);
+  if (verdict_ == dialect::AnswerVerdict::kValid || verdict_ == dialect::AnswerVerdict::kNotRun) {
+    context_.onNotice_(target_, context_.dialect_.ReadNotice(answerHead_), startedAt_);
+  }
+  if (verdict_ == dialect::AnswerVerdict::kInvalid) {
+    Fail("invalid-answer", peer::wire::UNKNOWN);
+    return;
+  }
   if (verdict_ != dialect::AnswerVerdict::kValid) {
     return;
   }
@@ -142,7 +154,15 @@
 
 void ForwardedCall::OnData(std::string_view aData)
 {
-  if (isFinished_ || verdict_ != dialect::AnswerVerdict::kValid) {
+  if (isFinished_) {
+    return;
+  }
+  if (verdict_ != dialect::AnswerVerdict::kValid) {
+    // The body of a refusal is read only so that the connection can be used again.
+    discardedBytes_ += aData.size();
+    if (discardedBytes_ > kMaxDiscardedBytes) {
+      OnEnd(false);
+    }
     return;
   }
   while (!aData.empty() && !isFinished_) {
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -4,8 +4,10 @@
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/common/EventLoop.h"
 #include "dandelionstand/common/HttpServer.h"
+#include "dandelionstand/common/Milliseconds.h"
 #include "dandelionstand/peer/generated/envelope.pb.h"
 #include "dandelionstand/target/ForwardedCall.h"
+#include "dandelionstand/target/WireNotice.h"
 
 #include <sigc++/functors/mem_fun.h>
 
@@ -16,6 +18,7 @@
 namespace {
 
 constexpr common::Duration kTickInterval = std::chrono::milliseconds(20);
+constexpr common::Duration kUsageLogInterval = std::chrono::seconds(5);
 
 template<typename Message>
 AttemptKey KeyOf(const peer::wire::Envelope& aEnvelope, const Message& aMessage)
@@ -32,6 +35,7 @@
                                  common::Counters& aCounters,
                                  peer::Transport& aTransport,
                                  const dialect::TargetDialect& aDialect,
+                                 EgressSettings aEgress,
                                  common::Incarnation aDaemonIncarnation,
                                  std::unique_ptr<AdmissionQueue> aQueue,
                                  ConfigSource aConfigSource)
@@ -40,26 +44,44 @@
   , transport_(aTransport)
   , daemonIncarnation_(aDaemonIncarnation)
   , configSource_(std::move(aConfigSource))
-  , sender_(aTransport, [this](const std::string& aRoute) { return CurrentLoad(aRoute); })
+  , sender_(aLoop,
+            aTransport,
+            std::move(aEgress),
+            [this](const std::string& aRoute) { return CurrentLoad(aRoute); })
   , connections_(aLoop)
   , queue_(std::move(aQueue))
-  , callContext_{ aLoop,    aCounters,
-                  sender_,  connections_,
-                  aDialect, [this](const std::string& aReason) {
-                   targetLost_.emit(aReason); } }
+  , callContext_{ aLoop,
+                  aCounters,
+                  sender_,
+                  connections_,
+                  aDialect,
+                  [this](const std::string& aReason) { targetLost_.emit(aReason); },
+                  [this](const TargetIdentity& aTarget,
+                         const dialect::TargetNotice& aNotice,
+                         common::TimePoint aSentAt) {
+                    counters_.Add("target_notices_invalid_total", aNotice.hasInvalidLimit_ ? 1 : 0);
+                    notices_.OnAnswer(aTarget, aNotice, aSentAt, common::Now());
+                    ApplyNotice("answer");
+                  } }
 {
   transport_.Received().connect(sigc::mem_fun(*this, &TargetForwarder::OnEnvelope));
   tickTimer_ = loop_.Every(kTickInterval, [this] { Tick(); });
+  usageTimer_ = loop_.Every(kUsageLogInterval, [this] {
+    LogUsage();
+    LogEgress();
+  });
 }
 
 TargetForwarder::~TargetForwarder() = default;
 
 void TargetForwarder::SetTarget(const Target& aTarget)
 {
-  if (aTarget.incarnationId_ != target_.incarnationId_) {
+  if (aTarget.identity_ != target_.identity_) {
     connections_.CloseIdle();
   }
   target_ = aTarget;
+  notices_.SetTarget(aTarget.identity_);
+  ApplyNotice("target-changed");
   common::HostAndPort address;
   RefreshLimits();
   if (!common::ParseAddress(aTarget.address_.Get(), address)) {
@@ -95,6 +117,11 @@
                                   const AttemptKey& aKey,
                                   const peer::wire::CallStart& aStart)
 {
+  if (aStart.has_remembered_notice()) {
+    const peer::wire::TargetNotice& notice = aStart.remembered_notice();
+    notices_.OnRemembered(ParseIdentity(notice), ParseNotice(notice));
+    ApplyNotice("remembered");
+  }
   if (aStart.target_incarnation() != daemonIncarnation_.Get()) {
     Refuse(aCallerDaemon, aKey, aStart, "wrong-incarnation");
     return;
@@ -110,28 +137,33 @@
   const common::TimePoint now = common::Now();
   const common::TimePoint deadline = now + std::chrono::milliseconds(aStart.time_left_ms());
   const auto trafficClass = static_cast<config::TrafficClass>(aStart.traffic_class());
-  calls_[aKey] = { now,
-                   deadline,
-                   std::make_unique<ForwardedCall>(
-                     callContext_,
-                     aCallerDaemon,
-                     aKey,
-                     aStart,
-                     [this](const AttemptKey& aFinishedKey, WorkOutcome aOutcome) {
-                       OnCallFinished(AttemptKey(aFinishedKey), aOutcome);
-                     }) };
   Work work{ aKey, trafficClass, deadline };
   if (aStart.has_objective()) {
     work.objective_ = now + std::chrono::milliseconds(aStart.objective_left_ms());
   }
+  CallEntry& entry = calls_[aKey];
+  entry.offeredAt_ = now;
+  entry.deadline_ = deadline;
+  entry.objective_ = work.objective_;
+  entry.call_ =
+    std::make_unique<ForwardedCall>(callContext_,
+                                    aCallerDaemon,
+                                    aKey,
+                                    aStart,
+                                    [this](const AttemptKey& aFinishedKey, WorkOutcome aOutcome) {
+                                      OnCallFinished(AttemptKey(aFinishedKey), aOutcome);
+                                    });
+  usage_.RecordOffer(aStart.route());
   work.rank_ = aStart.rank();
   work.route_ = aStart.route();
+  work.transferTime_ = sender_.TransferTime(aStart.route(), aKey.callerInstance_);
   work.mayMissObjective_ = !aStart.has_other_endpoints();
   Apply(queue_->Offer(work, now));
 }
 
 void TargetForwarder::OnCallCancel(const AttemptKey& aKey)
 {
+  sender_.Drop(aKey);
   const auto found = calls_.find(aKey);
   if (found == calls_.end()) {
     return;
@@ -142,7 +174,17 @@
 
 void TargetForwarder::OnCallFinished(const AttemptKey& aKey, WorkOutcome aOutcome)
 {
-  calls_.erase(aKey);
+  const auto found = calls_.find(aKey);
+  if (found != calls_.end()) {
+    const CallEntry& entry = found->second;
+    if (entry.startedAt_ != common::TimePoint()) {
+      usage_.RecordEnd(entry.call_->Request().route(),
+                       common::Now() - entry.startedAt_,
+                       aOutcome == WorkOutcome::kAborted);
+    }
+    calls_.erase(found);
+  }
+  sender_.ReleaseReservation(aKey);
   Apply(queue_->OnWorkFinished(aKey, aOutcome, common::Now()));
 }
 
@@ -152,8 +194,13 @@
     if (const auto* start = std::get_if<StartWork>(&action)) {
       counters_.Add("target_calls_forwarded_total");
       CallEntry& entry = calls_.at(start->key_);
-      counters_.Observe("target_wait_seconds", common::Now() - entry.offeredAt_);
-      entry.call_->Start(entry.deadline_, target_.incarnationId_);
+      entry.startedAt_ = common::Now();
+      counters_.Observe("target_wait_seconds", entry.startedAt_ - entry.offeredAt_);
+      usage_.RecordStart(entry.call_->Request().route(),
+                         start->key_.attempt_ > 1,
+                         entry.startedAt_ > entry.objective_);
+      sender_.Reserve(entry.call_->Request().route(), start->key_);
+      entry.call_->Start(entry.deadline_, target_.identity_);
     } else if (const auto* refusal = std::get_if<RefuseWork>(&action)) {
       const auto found = calls_.find(refusal->key_);
       const ForwardedCall& call = *found->second.call_;
@@ -174,15 +221,44 @@
                      { "from", aKey.callerInstance_.Get() },
                      { "attempt", aKey.attempt_ },
                      { "reason", aReason },
+                     { "route", aStart.route() },
+                     { "rank", aStart.rank() },
                      { "version", aStart.config_version() },
                      { "time_left_ms", aStart.time_left_ms() },
+                     { "objective_left_ms", aStart.objective_left_ms() },
                      { "running", queue_->RunningCount() },
                      { "queued", queue_->QueuedCount() },
                      { "slots", queue_->UsableSlots(common::Now()) } });
+  usage_.RecordRefusal(aStart.route());
   counters_.Add("target_calls_refused_total{reason=\"" + std::string(aReason) + "\"}");
   sender_.SendFailed(aRecipient, aKey, aStart.route(), aReason, peer::wire::NOT_RUN);
 }
 
+void TargetForwarder::ApplyNotice(const char* aSource)
+{
+  const dialect::TargetNotice notice = notices_.Current();
+  if (notice == appliedNotice_) {
+    return;
+  }
+  const dialect::TargetNotice previous = std::exchange(appliedNotice_, notice);
+  const auto toText = [](const std::optional<double>& aRate) {
+    return aRate ? std::to_string(*aRate) : std::string("none");
+  };
+  common::LogEvent(common::Severity::kInfo,
+                   "target_notice",
+                   { { "start", notices_.Target().incarnationId_ },
+                     { "source", aSource },
+                     { "max_requests_per_s", toText(notice.maxRequestsPerSecond_) },
+                     { "previous", toText(previous.maxRequestsPerSecond_) },
+                     { "leaving", notice.isLeaving_ ? "yes" : "no" } });
+  if (notice.maxRequestsPerSecond_ != previous.maxRequestsPerSecond_) {
+    Apply(queue_->SetMaxStartRate(notice.maxRequestsPerSecond_, common::Now()));
+  }
+  if (notice.isLeaving_ && !previous.isLeaving_) {
+    targetLeaving_.emit(notices_.Target());
+  }
+}
+
 void TargetForwarder::RefreshLimits()
 {
   const config::ConfigStatePtr config = configSource_();
@@ -208,6 +284,42 @@
   Apply(queue_->Tick(common::Now()));
 }
 
+void TargetForwarder::LogUsage()
+{
+  for (const auto& [route, use] : usage_.Extract()) {
+    common::LogEvent(common::Severity::kInfo,
+                     "target_use",
+                     { { "route", route },
+                       { "offered", use.offered_ },
+                       { "started", use.started_ },
+                       { "started_late", use.startedLate_ },
+                       { "retries", use.startedRetries_ },
+                       { "refused", use.refused_ },
+                       { "aborted", use.aborted_ },
+                       { "slot_ms", common::ToMilliseconds(use.slotTime_) },
+                       { "work_time_ms", common::ToMilliseconds(queue_->MeanServiceTime(route)) },
+                       { "slots", queue_->UsableSlots(common::Now()) } });
+  }
+}
+
+void TargetForwarder::LogEgress()
+{
+  const EgressQueue& egress = sender_.Egress();
+  const std::uint64_t sentBytes =
+    egress.SentBytes() - std::exchange(loggedSentBytes_, egress.SentBytes());
+  if (!egress.IsLimited()) {
+    return;
+  }
+  common::LogEvent(
+    common::Severity::kInfo,
+    "egress_use",
+    { { "sent_bytes", sentBytes },
+      { "answers", egress.AnswerCount() },
+      { "queued_bytes", egress.QueuedBytes() },
+      { "reserved_bytes", egress.ReservedBytes() },
+      { "time_to_send_ms", common::ToMilliseconds(egress.TimeToSend(0, common::Now())) } });
+}
+
 peer::wire::Load TargetForwarder::CurrentLoad() const
 {
   peer::wire::Load load;
@@ -220,7 +332,10 @@
 peer::wire::Load TargetForwarder::CurrentLoad(const std::string& aRoute) const
 {
   peer::wire::Load load = CurrentLoad();
-  load.set_work_time_us(static_cast<std::uint32_t>(queue_->MeanServiceTime(aRoute).count()));
+  const common::Duration workTime =
+    queue_->MeanServiceTime(aRoute) + sender_.TransferTime(aRoute, common::InstanceId());
+  load.set_work_time_us(static_cast<std::uint32_t>(workTime.count()));
+  WriteNotice(notices_, load);
   return load;
 }
 
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -7,6 +7,8 @@
 #include "dandelionstand/target/AdmissionQueue.h"
 #include "dandelionstand/target/AnswerSender.h"
 #include "dandelionstand/target/ForwardedCall.h"
+#include "dandelionstand/target/NoticeTracker.h"
+#include "dandelionstand/target/RouteUsage.h"
 #include "dandelionstand/target/TargetConnections.h"
 
 #include <sigc++/signal.h>
@@ -16,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace dandelionstand::common {
 class Counters;
@@ -45,6 +48,7 @@
                   common::Counters& aCounters,
                   peer::Transport& aTransport,
                   const dialect::TargetDialect& aDialect,
+                  EgressSettings aEgress,
                   common::Incarnation aDaemonIncarnation,
                   std::unique_ptr<AdmissionQueue> aQueue,
                   ConfigSource aConfigSource);
@@ -54,9 +58,9 @@
   struct Target
   {
     common::ServiceName service_;
-    common::Address address_;   //!< Empty if no target accepts work.
-    std::string incarnationId_; //!< Sent with each request, so that no later incarnation runs it.
-    std::uint32_t slots_ = 0;   //!< 0: use the limits of its service.
+    common::Address address_; //!< Empty if no target accepts work.
+    TargetIdentity identity_; //!< Sent with each request, so that no later incarnation runs it.
+    std::uint32_t slots_ = 0; //!< 0: use the limits of its service.
     //! Time over which the usable slots grow to the full number after a start.
     common::Duration rampUpDuration_ = std::chrono::seconds(5);
   };
@@ -65,9 +69,19 @@
   void SetTarget(const Target& aTarget);
   //! Emitted if the target cannot be reached or another target has its address.
   sigc::signal<void, const std::string&>& TargetLost() { return targetLost_; }
+  //! Emitted if the target states in an answer that it is leaving.
+  sigc::signal<void, const TargetIdentity&>& TargetLeaving() { return targetLeaving_; }
+  //! Requests per second that the target accepts; nullopt if it names no limit.
+  std::optional<double> MaxRequestsPerSecond() const
+  {
+    return notices_.Current().maxRequestsPerSecond_;
+  }
   //! Refuses new calls as not run. Calls in flight continue.
   void StartDrain();
-  std::size_t InFlight() const { return calls_.size(); }
+  //! Calls whose answers are not sent completely.
+  std::size_t InFlight() const { return calls_.size() + sender_.QueuedCount(); }
+  //! Counts bytes that leave this instance other than through the transport.
+  void RecordEgress(std::size_t aBytes) { sender_.RecordEgress(aBytes); }
   //! The load reported with each answer: running and queued work, and usable slots.
   peer::wire::Load CurrentLoad() const;
   //! The same, with the estimated service time of the route's requests.
@@ -78,7 +92,9 @@
   {
     common::TimePoint offeredAt_;
     common::TimePoint deadline_;
+    common::TimePoint objective_ = common::TimePoint::max();
     std::unique_ptr<ForwardedCall> call_;
+    common::TimePoint startedAt_; //!< Zero until the attempt is forwarded.
   };
 
   void OnEnvelope(const peer::PeerRef& aCallerDaemon, const peer::wire::Envelope& aEnvelope);
@@ -92,8 +108,11 @@
               const AttemptKey& aKey,
               const peer::wire::CallStart& aStart,
               std::string_view aReason);
+  void ApplyNotice(const char* aSource);
   void RefreshLimits();
   void Tick();
+  void LogUsage();
+  void LogEgress();
 
   common::EventLoop& loop_;
   common::Counters& counters_;
@@ -106,8 +125,14 @@
   Target target_;
   ForwardedCall::Context callContext_;
   sigc::signal<void, const std::string&> targetLost_;
+  sigc::signal<void, const TargetIdentity&> targetLeaving_;
+  NoticeTracker notices_;
+  dialect::TargetNotice appliedNotice_;
   std::map<AttemptKey, CallEntry> calls_;
+  RouteUsage usage_;
+  std::uint64_t loggedSentBytes_ = 0;
   std::unique_ptr<common::Watch> tickTimer_;
+  std::unique_ptr<common::Watch> usageTimer_;
 };
 
 } // namespace dandelionstand::target
