--- a/src/dandelionstand/dialect/CallerRequest.h
+++ b/src/dandelionstand/dialect/CallerRequest.h
@@ -15,7 +15,7 @@
 struct CallerRequest
 {
   std::string clientHost_; //!< IP address of the client.
-  std::string id_; //!< The caller's request ID, for logs; may be empty.
+  std::string id_;         //!< The caller's request ID, for logs; may be empty.
   std::string method_;
   std::string host_;
   std::string path_;      //!< Without the query; routes match on it.
