--- a/tests/target/ServerLimitReplayTests.cpp
+++ b/tests/target/ServerLimitReplayTests.cpp
@@ -112,9 +112,11 @@
       if (!isLimited) {
         continue;
       }
-      const auto count = std::count_if(arrivals_.begin(), arrivals_.end(), [&](const Arrival& a) {
-        return a.counts_ && a.at_ >= first.at_ && a.at_ < first.at_ + kWindow;
-      });
+      const auto count =
+        std::count_if(arrivals_.begin(), arrivals_.end(), [&](const Arrival& aArrival) {
+          return aArrival.counts_ && aArrival.at_ >= first.at_ &&
+                 aArrival.at_ < first.at_ + kWindow;
+        });
       maxUse = std::max(maxUse, static_cast<double>(count) / (1.5 * permitted + 5));
     }
     return maxUse;
