--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -292,7 +292,13 @@
 nlohmann::json Daemon::DumpQueue() const
 {
   const peer::wire::Load load = forwarder_.CurrentLoad();
-  return { { "running", load.running() }, { "queued", load.queued() }, { "slots", load.slots() } };
+  nlohmann::json dump{ { "running", load.running() },
+                       { "queued", load.queued() },
+                       { "slots", load.slots() } };
+  if (const auto rate = forwarder_.MaxRequestsPerSecond()) {
+    dump["max_requests_per_second"] = *rate;
+  }
+  return dump;
 }
 
 void Daemon::OnMembersChanged()
