Forward the heartbeats of the better of two log readers

Cause: two daemons of a region can become readers of the log at the same time, for example at a start. The worse-ranked one stops once it receives a heartbeat of the better one. A relay forwards a heartbeat only if half an interval has passed since the last sign of life that it forwarded, of any reader. Both readers send at the same interval, so if the worse one's heartbeats come just before the better one's, the latter are never forwarded, and both read for as long as they run.

Ruled out: views of the members that differ (the state of the simulated fleet is the same at all daemons, and the fault is there).

Change: a relay also forwards the heartbeat of a reader that ranks above the one forwarded last.

--- a/src/dandelionstand/peer/Spreading.cpp
+++ b/src/dandelionstand/peer/Spreading.cpp
@@ -259,8 +259,12 @@
     readerSeenAt_.has_value() &&
     (!forwardedReaderSeenAt_.has_value() ||
      *readerSeenAt_ > *forwardedReaderSeenAt_ + settings_.readerHeartbeatInterval_ / 2);
-  if (settings_.mode_ == SpreadingMode::kTree && isNew && origin != self_.instance_) {
+  // Of two readers with the same phase, the heartbeats of the better-ranked one must get through:
+  // the other one stops reading only once it receives them.
+  const bool isBetter = RankHash(origin) < RankHash(forwardedOrigin_);
+  if (settings_.mode_ == SpreadingMode::kTree && (isNew || isBetter) && origin != self_.instance_) {
     forwardedReaderSeenAt_ = readerSeenAt_;
+    forwardedOrigin_ = origin;
     Push({}, origin, aReceived.senderAddress_);
   }
 }
--- a/src/dandelionstand/peer/Spreading.h
+++ b/src/dandelionstand/peer/Spreading.h
@@ -185,6 +185,7 @@
   std::optional<common::TimePoint> betterReaderSeenAt_;
   //! Value of readerSeenAt_ in the reader heartbeat forwarded last.
   std::optional<common::TimePoint> forwardedReaderSeenAt_;
+  common::InstanceId forwardedOrigin_; //!< Reader of the heartbeat forwarded last.
 
   common::Offset highestPosition_; //!< Highest position known of this daemon, a peer or the log.
   //! The peer that reported highestPosition_; if empty, a fetch goes to a random peer.
--- a/tests/peer/SpreadingTests.cpp
+++ b/tests/peer/SpreadingTests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <random>
 
 using namespace dandelionstand;
 using namespace std::chrono_literals;
@@ -131,6 +132,30 @@
   CHECK(bus.Faults().empty());
 }
 
+TEST_CASE("Each region returns to one reader after series of pauses", "[spreading][replay]")
+{
+  const auto seed = GENERATE(range(std::uint64_t{ 1 }, std::uint64_t{ 61 }));
+  CAPTURE(seed);
+  SpreadingBus bus(seed, GenerateProfile());
+  StartSettledFleet(bus);
+  std::mt19937_64 random(seed);
+  const std::vector<std::string> names = bus.Names();
+  for (int round = 0; round < 3; ++round) {
+    for (const std::string& name : names) {
+      if (random() % 3 == 0) {
+        bus.Pause(name);
+      }
+    }
+    bus.RunFor(4s + std::chrono::milliseconds(random() % 1000));
+    // The heartbeats of readers that resume at different times have different phases.
+    for (const std::string& name : names) {
+      bus.Resume(name);
+      bus.RunFor(std::chrono::milliseconds(random() % 200));
+    }
+  }
+  CHECK(bus.RunUntil([&] { return bus.ReaderCount() == 3; }, 20s));
+}
+
 TEST_CASE("A region cut off from the log and all peers converges after the partition heals",
           "[spreading]")
 {
