Let two daemons read the document for all

Seen: each daemon polled the operator's document for itself.

Cause: the calls grow with the daemons, since a long poll of 1.8 s and one answer a version were made by each of them.

Ruled out: a longer poll alone (a half-open connection would stay undetected for longer than a version may take); pushes without a statement of freshness (a lost push looks like "no change").

Change: peer/DocumentReaders, a pure module. Two readers by rank, in different regions, poll the store and confirm the active version to everyone through one relay in each failure domain; a daemon that lacks the version queries the sender. Each daemon polls for itself once the newest confirmation is older than 0.77 of configuration-apply-s (backups: 0.70), so the readers only save calls and protect nothing. A reader that refused the newest document confirms nothing. HttpClient reuses no connection that was idle for a second, since a takeover must not wait for a half-open one.

Tests: simulated fleets of 18, 195, 300 and 1,400 daemons (calls in a calm fleet do not grow with them); readers killed, paused, cut off from the store just before a version; daemons without peers; 100 random series of losses, pauses and partitions, in which no daemon in touch is later than 2 s.

--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -201,7 +201,13 @@
 {
   if (aSettings.platform_) {
     configSource_ = std::make_unique<DocumentConfigSource>(
-      loop_, counters_, controlSender_, transport_, log_, incarnation_.Get());
+      loop_,
+      counters_,
+      controlSender_,
+      transport_,
+      log_,
+      MakeSelfMember(aSettings, incarnation_),
+      peer::MakeDocumentReadersSettings(aSettings.platform_->bounds_.configApplyLimit_));
   } else {
     configSource_ = std::make_unique<RecordConfigSource>(
       loop_,
--- a/src/dandelionstand/daemon/DocumentConfigSource.cpp
+++ b/src/dandelionstand/daemon/DocumentConfigSource.cpp
@@ -4,6 +4,8 @@
 #include "dandelionstand/common/EventLog.h"
 #include "dandelionstand/platform/ConfigDocument.h"
 
+#include <sigc++/functors/mem_fun.h>
+
 #include <utility>
 
 namespace dandelionstand::daemon {
@@ -13,29 +15,60 @@
                                            peer::ControlSender& aSender,
                                            peer::Transport& aTransport,
                                            platform::Log& aLog,
-                                           std::uint64_t aSeed)
+                                           const peer::Member& aSelf,
+                                           const peer::DocumentReadersSettings& aSettings)
   : counters_(aCounters)
-  , documentTask_(aLoop, aSender, aTransport)
-  , feed_(aLoop, aLog, aSeed, [this](const std::string& aText) { OnDocument(aText, "store"); })
+  , documentTask_(aLoop,
+                  aSender,
+                  aTransport,
+                  peer::DocumentReaders(aSelf, aSettings, common::Now(), aSelf.incarnation_.Get()))
+  , feed_(aLoop,
+          aLog,
+          aSelf.incarnation_.Get(),
+          aSettings.pollWait_,
+          { [this](const std::string& aText) { OnDocument(aText, Origin::kStore); },
+            [this](common::Offset aNextOffset) { OnStoreAnswer(aNextOffset); } })
 {
-  documentTask_.Received().connect([this](const std::string& aText) { OnDocument(aText, "peer"); });
+  documentTask_.Received().connect(
+    [this](const std::string& aText) { OnDocument(aText, Origin::kPeer); });
+  documentTask_.ReaderUpdated().connect(
+    sigc::mem_fun(*this, &DocumentConfigSource::OnReaderUpdated));
   feed_.Start();
 }
 
 void DocumentConfigSource::SetMembers(const peer::Members& aMembers, bool)
 {
   members_ = aMembers;
+  documentTask_.SetMembers(aMembers);
+}
+
+void DocumentConfigSource::OnStoreAnswer(common::Offset aNextOffset)
+{
+  if (state_ && !isNewestRefused_) {
+    documentTask_.OnStoreAnswer(aNextOffset);
+  }
 }
 
-void DocumentConfigSource::OnDocument(const std::string& aText, const char* aOrigin)
+void DocumentConfigSource::OnReaderUpdated(bool aIsReader, common::Offset aNextOffset)
 {
+  feed_.SkipTo(aNextOffset);
+  // Without a configuration this daemon cannot serve, so it does not wait for a peer.
+  feed_.SetPolling(aIsReader || !state_);
+}
+
+void DocumentConfigSource::OnDocument(const std::string& aText, Origin aOrigin)
+{
+  const char* originText = aOrigin == Origin::kStore ? "store" : "peer";
   common::Findings findings;
   config::ConfigStatePtr state = platform::DecodeConfigDocument(aText, findings);
+  if (aOrigin == Origin::kStore) {
+    isNewestRefused_ = state == nullptr;
+  }
   if (!state) {
     counters_.Add("config_documents_refused_total");
     common::LogEvent(common::Severity::kError,
                      "config_refused",
-                     { { "origin", aOrigin }, { "findings", findings.ToString() } });
+                     { { "origin", originText }, { "findings", findings.ToString() } });
     return;
   }
   if (state_ && state->version_ <= state_->version_) {
@@ -46,7 +79,7 @@
   common::LogEvent(common::Severity::kInfo,
                    "config_in_force",
                    { { "version", state_->version_.Get() },
-                     { "origin", aOrigin },
+                     { "origin", originText },
                      { "routes", state_->routes_.size() } });
   documentTask_.SetDocument(state_->version_, aText);
   VersionChanged().emit(state_->version_);
@@ -67,7 +100,10 @@
 
 nlohmann::json DocumentConfigSource::DumpRoles() const
 {
-  return { { "store_answered_us_ago", feed_.TimeSinceLastAnswer().count() } };
+  const peer::DocumentReaders& readers = documentTask_.Readers();
+  return { { "store_answered_us_ago", feed_.TimeSinceLastAnswer().count() },
+           { "is_ranked_reader", readers.IsRankedReader() },
+           { "confirmed_us_ago", readers.ConfirmationAge(common::Now()).count() } };
 }
 
 } // namespace dandelionstand::daemon
--- a/src/dandelionstand/daemon/DocumentConfigSource.h
+++ b/src/dandelionstand/daemon/DocumentConfigSource.h
@@ -26,7 +26,8 @@
                        peer::ControlSender& aSender,
                        peer::Transport& aTransport,
                        platform::Log& aLog,
-                       std::uint64_t aSeed);
+                       const peer::Member& aSelf,
+                       const peer::DocumentReadersSettings& aSettings);
 
   config::ConfigStatePtr ActiveState() override { return state_; }
   void SetMembers(const peer::Members& aMembers, bool aHasJoined) override;
@@ -34,13 +35,24 @@
   nlohmann::json DumpRoles() const override;
 
 private:
-  void OnDocument(const std::string& aText, const char* aOrigin);
+  enum class Origin
+  {
+    kStore,
+    kPeer,
+  };
+
+  void OnDocument(const std::string& aText, Origin aOrigin);
+  void OnStoreAnswer(common::Offset aNextOffset);
+  void OnReaderUpdated(bool aIsReader, common::Offset aNextOffset);
 
   common::Counters& counters_;
   peer::DocumentTask documentTask_;
   platform::ConfigFeed feed_;
   peer::Members members_;
   config::ConfigStatePtr state_;
+  //! The newest document of the store was refused; its version must not be hidden from others by a
+  //! confirmation of the active one.
+  bool isNewestRefused_ = false;
 };
 
 } // namespace dandelionstand::daemon
--- a/src/dandelionstand/peer/DocumentExchange.cpp
+++ b/src/dandelionstand/peer/DocumentExchange.cpp
@@ -6,8 +6,8 @@
 
 using namespace std::chrono_literals;
 
-//! The store delivers a version to all daemons within about 50 ms. A daemon that is behind for this
-//! long cannot reach the store.
+//! A version reaches all daemons within about 100 ms. One that is behind for this long reaches
+//! neither the store nor a relay.
 constexpr common::Duration kQueryDelay = 250ms;
 //! A lost query delays the version by this much of the 2 s within which it must reach every daemon.
 constexpr common::Duration kQueryInterval = 400ms;
@@ -21,6 +21,7 @@
   if (aVersion < highestPeerVersion_ || aVersion <= localVersion_) {
     return;
   }
+  isConfirmed_ = isConfirmed_ && aVersion == highestPeerVersion_;
   highestPeerVersion_ = aVersion;
   highestPeer_ = aPeer;
   if (!behindSince_) {
@@ -28,21 +29,33 @@
   }
 }
 
+void DocumentExchange::OnConfirmedVersion(const common::Address& aPeer,
+                                          common::Version aVersion,
+                                          common::TimePoint aNow)
+{
+  OnPeerVersion(aPeer, aVersion, aNow);
+  isConfirmed_ = isConfirmed_ || (behindSince_ && aVersion == highestPeerVersion_);
+}
+
 void DocumentExchange::OnLocalVersion(common::Version aVersion)
 {
   localVersion_ = aVersion;
   if (localVersion_ >= highestPeerVersion_) {
     behindSince_.reset();
+    isConfirmed_ = false;
   }
 }
 
 std::optional<common::Address> DocumentExchange::Tick(common::TimePoint aNow)
 {
   // Without any version the daemon cannot serve, so it does not wait for the store.
-  const common::Duration delay = localVersion_.Get() == 0 ? common::Duration(0) : kQueryDelay;
-  if (!behindSince_ || aNow - *behindSince_ < delay || aNow < nextQuery_) {
+  const bool isUrgent = localVersion_.Get() == 0 || isConfirmed_;
+  const common::Duration delay = isUrgent ? common::Duration(0) : kQueryDelay;
+  const bool isRepetition = queriedVersion_ == highestPeerVersion_;
+  if (!behindSince_ || aNow - *behindSince_ < delay || (isRepetition && aNow < nextQuery_)) {
     return std::nullopt;
   }
+  queriedVersion_ = highestPeerVersion_;
   nextQuery_ = aNow + kQueryInterval;
   return highestPeer_;
 }
--- a/src/dandelionstand/platform/ConfigFeed.cpp
+++ b/src/dandelionstand/platform/ConfigFeed.cpp
@@ -15,10 +15,6 @@
 const StreamName kOperatorStream("op");
 constexpr const char* kConfigKey = "config";
 
-//! Maximum wait of a long poll. It limits how long a half-open connection stays undetected, which
-//! must be less than 5 s: a version must be active within 2 s, plus 3 s that the platform allows
-//! for a connection fault.
-constexpr common::Duration kMaxPollWait = 1'800ms;
 //! Delay before the next poll after an answer without records. It prevents a busy loop if the store
 //! answers before the wait has ended.
 constexpr common::Duration kEmptyAnswerDelay = 50ms;
@@ -32,11 +28,13 @@
 ConfigFeed::ConfigFeed(common::EventLoop& aLoop,
                        Log& aLog,
                        std::uint64_t aSeed,
-                       OnDocument aOnDocument)
+                       common::Duration aMaxPollWait,
+                       Handlers aHandlers)
   : loop_(aLoop)
   , log_(aLog)
   , random_(aSeed)
-  , onDocument_(std::move(aOnDocument))
+  , maxPollWait_(aMaxPollWait)
+  , handlers_(std::move(aHandlers))
 {
 }
 
@@ -45,6 +43,14 @@
   ReadNewest();
 }
 
+void ConfigFeed::SetPolling(bool aIsPolling)
+{
+  isPolling_ = aIsPolling;
+  if (isPolling_ && std::exchange(isIdle_, false)) {
+    Continue();
+  }
+}
+
 common::Duration ConfigFeed::TimeSinceLastAnswer() const
 {
   return hasAnswered_ ? common::Now() - lastAnswerAt_ : common::Duration::max();
@@ -56,11 +62,23 @@
                   [this](const KeyedReadResult& aResult) { OnReadResult(aResult, true); });
 }
 
+void ConfigFeed::Continue()
+{
+  if (!isPolling_) {
+    isIdle_ = true;
+  } else if (nextOffset_.Get() > 0) {
+    // After an outage, reading on from the same offset returns the records written during it.
+    ReadNext();
+  } else {
+    ReadNewest();
+  }
+}
+
 void ConfigFeed::ReadNext()
 {
   log_.ReadKeyed(kOperatorStream,
                  nextOffset_,
-                 kMaxPollWait,
+                 maxPollWait_,
                  [this](const KeyedReadResult& aResult) { OnReadResult(aResult, false); });
 }
 
@@ -82,19 +100,20 @@
   hasAnswered_ = true;
   lastAnswerAt_ = common::Now();
   backoff_ = common::Duration(0);
-  nextOffset_ = aResult.nextOffset_;
+  SkipTo(aResult.nextOffset_);
   bool hasDocument = false;
   for (const KeyedRecord& record : aResult.records_) {
     if (record.key_ == kConfigKey) {
       hasDocument = true;
-      onDocument_(record.data_);
+      handlers_.onDocument_(record.data_);
     }
   }
+  handlers_.onAnswer_(nextOffset_);
   const bool isEmptyPoll = !aIsNewestRead && aResult.records_.empty();
   if (isEmptyPoll || (aIsNewestRead && !hasDocument)) {
-    timer_ = loop_.After(kEmptyAnswerDelay, [this] { ReadNext(); });
+    timer_ = loop_.After(kEmptyAnswerDelay, [this] { Continue(); });
   } else {
-    ReadNext();
+    Continue();
   }
 }
 
@@ -106,15 +125,7 @@
   backoff_ = std::clamp(backoff_ * 2, kMinBackoff, kMaxBackoff);
   std::uniform_int_distribution<common::Duration::rep> jitter(backoff_.count() / 2,
                                                               backoff_.count());
-  // Reading on from the same offset returns the records that were written during the outage.
-  const bool hasOffset = nextOffset_.Get() > 0;
-  timer_ = loop_.After(common::Duration(jitter(random_)), [this, hasOffset] {
-    if (hasOffset) {
-      ReadNext();
-    } else {
-      ReadNewest();
-    }
-  });
+  timer_ = loop_.After(common::Duration(jitter(random_)), [this] { Continue(); });
 }
 
 } // namespace dandelionstand::platform
--- a/src/dandelionstand/platform/ConfigFeed.h
+++ b/src/dandelionstand/platform/ConfigFeed.h
@@ -5,6 +5,7 @@
 #include "dandelionstand/common/Time.h"
 #include "dandelionstand/platform/Log.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <random>
@@ -14,17 +15,30 @@
 
 //! Follows the configuration document that the operator publishes in the platform's store.
 //!
-//! Reads the newest document first, then long-polls for later ones. Each daemon polls the store
-//! itself, so that no other daemon can delay a version. The additional copies across region borders
-//! are small compared with one download.
+//! Reads the newest document at the start. Long-polls for later ones while SetPolling(true) is in
+//! effect.
 class ConfigFeed
 {
 public:
-  using OnDocument = std::function<void(const std::string& aText)>;
+  struct Handlers
+  {
+    std::function<void(const std::string& aText)> onDocument_;
+    //! Called after each answer of the store, after its documents.
+    std::function<void(common::Offset aNextOffset)> onAnswer_;
+  };
 
-  ConfigFeed(common::EventLoop& aLoop, Log& aLog, std::uint64_t aSeed, OnDocument aOnDocument);
+  //! aMaxPollWait: maximum wait of a long poll.
+  ConfigFeed(common::EventLoop& aLoop,
+             Log& aLog,
+             std::uint64_t aSeed,
+             common::Duration aMaxPollWait,
+             Handlers aHandlers);
 
   void Start();
+  //! Starts polling, or stops it after the poll that is in progress.
+  void SetPolling(bool aIsPolling);
+  //! The next poll starts at aOffset or later; the records below are known from elsewhere.
+  void SkipTo(common::Offset aOffset) { nextOffset_ = std::max(nextOffset_, aOffset); }
   //! Duration::max() if the store has never answered.
   common::Duration TimeSinceLastAnswer() const;
 
@@ -33,11 +47,16 @@
   void ReadNext();
   void OnReadResult(const KeyedReadResult& aResult, bool aIsNewestRead);
   void ScheduleRetry();
+  //! Polls, or waits for SetPolling(true).
+  void Continue();
 
   common::EventLoop& loop_;
   Log& log_;
   std::mt19937_64 random_;
-  OnDocument onDocument_;
+  common::Duration maxPollWait_;
+  Handlers handlers_;
+  bool isPolling_ = false;
+  bool isIdle_ = false; //!< No read is in progress or scheduled.
   common::Offset nextOffset_;
   common::Duration backoff_{ 0 };
   common::TimePoint lastAnswerAt_;
--- a/src/dandelionstand/platform/HttpClient.cpp
+++ b/src/dandelionstand/platform/HttpClient.cpp
@@ -158,8 +158,12 @@
 
 HttpClient::Connection HttpClient::AcquireConnection()
 {
+  // A connection that carried nothing for a while may be half-open, which only a time-out shows.
+  const common::TimePoint oldestUsable = common::Now() - settings_.maxIdleTime_;
+  std::erase_if(idle_,
+                [&](const IdleConnection& aIdle) { return aIdle.releasedAt_ < oldestUsable; });
   if (!idle_.empty()) {
-    Connection connection = std::move(idle_.back());
+    Connection connection = std::move(idle_.back().connection_);
     idle_.pop_back();
     return connection;
   }
@@ -185,7 +189,7 @@
     idle_.clear();
   }
   if (IsReusable(aResponse)) {
-    idle_.push_back(aExchange->ReleaseConnection());
+    idle_.push_back({ aExchange->ReleaseConnection(), common::Now() });
   }
   finished_.push_back(std::move(finished.mapped()));
   if (!destroyTimer_) {
--- a/src/dandelionstand/platform/HttpClient.h
+++ b/src/dandelionstand/platform/HttpClient.h
@@ -24,7 +24,8 @@
   std::string sourceAddress_;           //!< Local IP address; if empty, the system chooses it.
   std::size_t maxHeaderBytes_ = 16'384; //!< Larger response headers fail the request.
   std::size_t maxIdleConnections_ = 4;  //!< Connections kept open for reuse.
-  std::size_t maxBodyBytes_ = 65'536;   //!< Limit of HttpResponse::body_; the rest is discarded.
+  common::Duration maxIdleTime_ = std::chrono::seconds(1); //!< For which they are reused.
+  std::size_t maxBodyBytes_ = 65'536; //!< Limit of HttpResponse::body_; the rest is discarded.
 };
 
 enum class HttpMethod
@@ -89,6 +90,11 @@
     void operator()(evhttp_connection* aConnection) const;
   };
   using Connection = std::unique_ptr<evhttp_connection, ConnectionDeleter>;
+  struct IdleConnection
+  {
+    Connection connection_;
+    common::TimePoint releasedAt_;
+  };
 
   Connection AcquireConnection();
   void OnFinished(Exchange* aExchange, const HttpResponse& aResponse);
@@ -99,7 +105,7 @@
   HttpClientSettings settings_;
   common::HostAndPort server_;
   std::map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
-  std::vector<Connection> idle_;
+  std::vector<IdleConnection> idle_;
   //! Finished exchanges that libevent may still access in this iteration of the event loop.
   std::vector<std::unique_ptr<Exchange>> finished_;
   std::unique_ptr<common::Watch> destroyTimer_;
--- a/src/dandelionstand/platform/PlatformBounds.cpp
+++ b/src/dandelionstand/platform/PlatformBounds.cpp
@@ -32,7 +32,8 @@
     const auto equals = setting.find('=');
     const std::string name = setting.substr(0, equals);
     const bool isRelevant = name == "grace-period-s" || name == "retry-budget-ratio" ||
-                            name == "budget-window-s" || name == "retry-budget-slack";
+                            name == "budget-window-s" || name == "retry-budget-slack" ||
+                            name == "configuration-apply-s";
     if (!isRelevant) {
       continue;
     }
@@ -42,6 +43,8 @@
       aFindings.Add({ "bounds", 0, name }, "must be a non-negative number");
     } else if (name == "grace-period-s") {
       bounds.gracePeriod_ = ToDuration(*number);
+    } else if (name == "configuration-apply-s") {
+      bounds.configApplyLimit_ = ToDuration(*number);
     } else if (name == "retry-budget-ratio") {
       bounds.retryBudgetRatio_ = *number;
     } else if (name == "budget-window-s") {
--- a/src/dandelionstand/platform/PlatformBounds.h
+++ b/src/dandelionstand/platform/PlatformBounds.h
@@ -13,7 +13,9 @@
 struct PlatformBounds
 {
   common::Duration gracePeriod_ = std::chrono::seconds(6); //!< From SIGTERM to SIGKILL.
-  double retryBudgetRatio_ = 0.2;                          //!< Allowed retries per first attempt.
+  //! Time within which an acknowledged configuration must be active everywhere.
+  common::Duration configApplyLimit_ = std::chrono::seconds(2);
+  double retryBudgetRatio_ = 0.2; //!< Allowed retries per first attempt.
   common::Duration retryBudgetWindow_ = std::chrono::seconds(10); //!< Window of the retry budget.
   double retryBudgetSlack_ = 0; //!< Allowed retries per window on top of the ratio.
 };
