Send the bodies of uploads when the daemon of the target requests them

Cause: the eight endpoints for uploads have links of 10 Mbit/s and receive 18 bodies of 60 KB a second each, refused attempts included. Everything sent to these instances waits behind bodies. The time outside of the endpoint was 97 to 283 ms in the middle (up to 1.6 s at 90 in 100) for uploads, 18 to 119 ms for the quota checks there and 10 to 97 ms for the calls that these endpoints made, each growing with the uploads that an instance received.

An attempt whose body was not sent completely did not run, whatever happened to it. UrgencyQueue predicts a refusal before the transfer.

--- a/src/dandelionstand/caller/ActiveCall.cpp
+++ b/src/dandelionstand/caller/ActiveCall.cpp
@@ -8,12 +8,17 @@
 #include "dandelionstand/peer/Transport.h"
 #include "dandelionstand/peer/generated/envelope.pb.h"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace dandelionstand::caller {
 
 namespace {
 
+//! Small, so that other messages are sent between the pieces of a large body.
+constexpr std::size_t kMaxBodyPieceBytes = 16UL * 1024;
+
 peer::PeerRef PeerRefOf(const Endpoint& aEndpoint)
 {
   return { aEndpoint.address_, "" };
@@ -67,6 +72,11 @@
     const auto& failed = aEnvelope.answer_failed();
     RememberNotice(failed.attempt(), failed.load());
     actions = machine_.OnFailed(failed.attempt(), ToAttemptFailed(failed), now);
+  } else if (aEnvelope.has_call_body_request()) {
+    const auto& bodyRequest = aEnvelope.call_body_request();
+    if (bodyRequest.attempt() == machine_.RunningAttempt()) {
+      SendRequestBody(bodyRequest.bytes());
+    }
   }
   context_.counters_.Add("caller_answers_dropped_total",
                          machine_.DroppedMessages() - droppedBefore);
@@ -157,6 +167,10 @@
   if (const auto* notice = context_.notices_.Find(aAttempt.endpoint_.instance_)) {
     *start.mutable_remembered_notice() = *notice;
   }
+  sentBodyBytes_ = 0;
+  if (IsBodyDeferred(request_, aAttempt)) {
+    machine_.MarkRequestIncomplete();
+  }
   if (!context_.transport_.Send(PeerRefOf(aAttempt.endpoint_), envelope)) {
     for (CallAction& action : machine_.OnSendFailed(aAttempt.attempt_, common::Now())) {
       Perform(action);
@@ -164,6 +178,28 @@
   }
 }
 
+void ActiveCall::SendRequestBody(std::size_t aBytes)
+{
+  const std::string_view body = request_.body_;
+  const std::size_t end = std::min(body.size(), sentBodyBytes_ + aBytes);
+  while (sentBodyBytes_ < end) {
+    const std::string_view piece =
+      body.substr(sentBodyBytes_, std::min(kMaxBodyPieceBytes, end - sentBodyBytes_));
+    if (sentBodyBytes_ + piece.size() == body.size()) {
+      machine_.MarkRequestComplete();
+    }
+    peer::wire::Envelope envelope;
+    peer::wire::CallBody& message = *envelope.mutable_call_body();
+    message.set_request_id(id_.Get());
+    message.set_attempt(machine_.RunningAttempt());
+    message.set_offset(sentBodyBytes_);
+    message.set_data(piece.data(), piece.size());
+    sentBodyBytes_ += piece.size();
+    // A piece that is dropped here leaves a gap, which the endpoint's daemon refuses as not run.
+    context_.transport_.Send(PeerRefOf(machine_.CurrentEndpoint()), envelope);
+  }
+}
+
 void ActiveCall::Cancel(const CancelAttempt& aAttempt)
 {
   peer::wire::Envelope envelope;
--- a/src/dandelionstand/caller/ActiveCall.h
+++ b/src/dandelionstand/caller/ActiveCall.h
@@ -75,6 +75,8 @@
   void Perform(CallAction& aAction);
   void RememberNotice(std::uint32_t aAttempt, const peer::wire::Load& aLoad);
   void Send(const SendAttempt& aAttempt);
+  //! Sends aBytes more of the deferred body of the running attempt.
+  void SendRequestBody(std::size_t aBytes);
   void Cancel(const CancelAttempt& aAttempt);
   void Grant(const GrantCredit& aGrant);
   void ArmTimer();
@@ -86,6 +88,7 @@
   CallMachine machine_;
   AnswerSink& sink_;
   DoneHandler doneHandler_;
+  std::size_t sentBodyBytes_ = 0; //!< Of the deferred body of the running attempt.
   std::unique_ptr<common::Watch> timer_;
   common::TimePoint timerDeadline_ = common::TimePoint::max();
 };
--- a/src/dandelionstand/caller/CallMachine.cpp
+++ b/src/dandelionstand/caller/CallMachine.cpp
@@ -194,7 +194,7 @@
     return actions;
   }
   EndAttempt(AttemptResult::kFailed, aNow);
-  HandleAttemptFailure({ "link-lost", head_ ? RunState::kRun : RunState::kUnknown }, aNow, actions);
+  HandleAttemptFailure({ "link-lost", RunStateOfLostAttempt() }, aNow, actions);
   return actions;
 }
 
@@ -232,7 +232,7 @@
   if (isDone_ || aNow < NextDeadline()) {
     return actions;
   }
-  const AttemptFailed timedOut{ kTimeoutReason, head_ ? RunState::kRun : RunState::kUnknown };
+  const AttemptFailed timedOut{ kTimeoutReason, RunStateOfLostAttempt() };
   CancelRunningAttempt(AttemptResult::kFailed, aNow, actions);
   HandleAttemptFailure(timedOut, aNow, actions);
   return actions;
@@ -281,6 +281,7 @@
   triedInstances_.push_back(endpoint_.instance_);
   ++attempt_;
   isRunning_ = true;
+  isRequestComplete_ = true;
   // Unconsumed data of an earlier attempt still occupies the window.
   remainingCredit_ = WindowBytes() - std::min(WindowBytes(), unconsumedBytes_);
   picker_.OnAttemptStarted(endpoint_.instance_, aNow);
@@ -457,6 +458,14 @@
   return std::min(plan_.headDeadline_, plan_.endDeadline_.value_or(common::TimePoint::max()));
 }
 
+RunState CallMachine::RunStateOfLostAttempt() const
+{
+  if (!isRequestComplete_) {
+    return RunState::kNotRun;
+  }
+  return head_ ? RunState::kRun : RunState::kUnknown;
+}
+
 bool CallMachine::IsWaitingForCaller() const
 {
   return isRunning_ && head_.has_value() && remainingCredit_ == 0;
--- a/src/dandelionstand/caller/CallMachine.h
+++ b/src/dandelionstand/caller/CallMachine.h
@@ -43,6 +43,10 @@
   //! The link to the current endpoint was lost, or the endpoint was removed.
   CallActions OnLinkLost(common::TimePoint aNow);
   CallActions OnCallerDisconnected(common::TimePoint aNow);
+  //! The body of the running attempt's request is sent later. Until MarkRequestComplete() the
+  //! target cannot run the request, whatever happens to the attempt.
+  void MarkRequestIncomplete() { isRequestComplete_ = false; }
+  void MarkRequestComplete() { isRequestComplete_ = true; }
   //! The caller consumed aBytes of the body.
   CallActions OnBodyConsumed(std::uint32_t aBytes, common::TimePoint aNow);
   //! Must be called at NextDeadline().
@@ -82,6 +86,8 @@
   void CancelRunningAttempt(AttemptResult aResult, common::TimePoint aNow, CallActions& aActions);
   common::TimePoint CallDeadline() const;
   bool IsWaitingForCaller() const;
+  //! What is known of the running attempt if nothing more is received of it.
+  RunState RunStateOfLostAttempt() const;
 
   CallPlan plan_;
   EndpointPicker& picker_;
@@ -92,6 +98,7 @@
   std::uint32_t attemptsBeforeHead_ = 0; //!< Attempts that are not continuations.
   std::uint32_t endpointAttempts_ = 0;   //!< Failed attempts that reached the endpoint.
   bool isRunning_ = false;
+  bool isRequestComplete_ = true; //!< All of the running attempt's request was sent.
   bool isDone_ = false;
   //! Of the last failed attempt that may have run; unset if there was none.
   std::optional<RunState> possibleRunState_;
--- a/src/dandelionstand/caller/CallerServer.cpp
+++ b/src/dandelionstand/caller/CallerServer.cpp
@@ -60,6 +60,8 @@
       return read(aEnvelope.answer_end());
     case peer::wire::Envelope::kAnswerFailed:
       return read(aEnvelope.answer_failed());
+    case peer::wire::Envelope::kCallBodyRequest:
+      return read(aEnvelope.call_body_request());
     default:
       return false;
   }
--- a/src/dandelionstand/caller/WireCalls.cpp
+++ b/src/dandelionstand/caller/WireCalls.cpp
@@ -3,10 +3,16 @@
 #include "dandelionstand/common/Milliseconds.h"
 #include "dandelionstand/peer/generated/call.pb.h"
 
+#include <xxhash.h>
+
 namespace dandelionstand::caller {
 
 namespace {
 
+//! Bodies up to this size are sent with their requests; a round trip would delay them more than
+//! they delay other messages.
+constexpr std::size_t kMaxImmediateBodyBytes = 16UL * 1024;
+
 void AddHeader(peer::wire::CallStart& aStart, const std::string& aName, const std::string& aValue)
 {
   peer::wire::Header& header = *aStart.add_headers();
@@ -35,6 +41,12 @@
 
 } // namespace
 
+bool IsBodyDeferred(const CallerRequest& aRequest, const SendAttempt& aAttempt)
+{
+  return aRequest.body_.size() > kMaxImmediateBodyBytes &&
+         aAttempt.endpoint_.acceptsDeferredBodies_;
+}
+
 void FillCallStart(const CallRoute& aRoute,
                    const CallerRequest& aRequest,
                    const SendAttempt& aAttempt,
@@ -55,7 +67,12 @@
   aStart.set_caller_request_id(aRequest.id_);
   aStart.set_method(aRequest.method_);
   aStart.set_path(aRequest.target_);
-  aStart.set_body(aRequest.body_);
+  if (IsBodyDeferred(aRequest, aAttempt)) {
+    aStart.set_deferred_body_bytes(aRequest.body_.size());
+    aStart.set_body_checksum(XXH3_64bits(aRequest.body_.data(), aRequest.body_.size()));
+  } else {
+    aStart.set_body(aRequest.body_);
+  }
   aStart.set_rank(route.priority_);
   aStart.set_has_other_endpoints(aAttempt.hasOtherEndpoints_);
   if (aAttempt.timeToObjective_) {
--- a/src/dandelionstand/caller/WireCalls.h
+++ b/src/dandelionstand/caller/WireCalls.h
@@ -23,6 +23,9 @@
   config::Route route_;
 };
 
+//! Whether the body is sent later, when the endpoint's daemon requests it.
+bool IsBodyDeferred(const CallerRequest& aRequest, const SendAttempt& aAttempt);
+
 //! Fills in the message that starts an attempt, except for the request id.
 void FillCallStart(const CallRoute& aRoute,
                    const CallerRequest& aRequest,
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -78,6 +78,7 @@
   member.address_ = aSettings.peers_.advertise_;
   member.failureDomain_ = aSettings.failureDomain_;
   member.region_ = aSettings.region_;
+  member.acceptsDeferredBodies_ = true;
   return member;
 }
 
--- a/src/dandelionstand/peer/EndpointDirectory.h
+++ b/src/dandelionstand/peer/EndpointDirectory.h
@@ -15,6 +15,8 @@
   common::Address address_;
   common::FailureDomain failureDomain_;
   common::Region region_;
+  //! See Member::acceptsDeferredBodies_.
+  bool acceptsDeferredBodies_ = false;
 
   bool operator==(const Endpoint&) const = default;
 };
--- a/src/dandelionstand/peer/Member.cpp
+++ b/src/dandelionstand/peer/Member.cpp
@@ -57,6 +57,7 @@
   member.service_ = common::ServiceName(aWire.service());
   member.revision_ = aWire.revision();
   member.configVersion_ = common::Version(aWire.config_version());
+  member.acceptsDeferredBodies_ = aWire.accepts_deferred_bodies();
   return member;
 }
 
@@ -71,6 +72,7 @@
   aWire.set_service(aMember.service_.Get());
   aWire.set_revision(aMember.revision_);
   aWire.set_config_version(aMember.configVersion_.Get());
+  aWire.set_accepts_deferred_bodies(aMember.acceptsDeferredBodies_);
 }
 
 const char* ToText(MemberStatus aStatus)
--- a/src/dandelionstand/peer/Member.h
+++ b/src/dandelionstand/peer/Member.h
@@ -35,6 +35,8 @@
   common::ServiceName service_;   //!< Empty while the daemon's target is not ready.
   std::uint64_t revision_ = 0;    //!< Increased by the member itself with each change.
   common::Version configVersion_; //!< Highest version that the member itself has sent.
+  //! The bodies of large requests are sent when its daemon requests them.
+  bool acceptsDeferredBodies_ = false;
 
   bool operator==(const Member&) const = default;
 
--- a/src/dandelionstand/peer/MembershipTask.cpp
+++ b/src/dandelionstand/peer/MembershipTask.cpp
@@ -54,7 +54,8 @@
                             member.incarnation_,
                             member.address_,
                             member.failureDomain_,
-                            member.region_ });
+                            member.region_,
+                            member.acceptsDeferredBodies_ });
     }
   }
   return endpoints;
--- a/src/dandelionstand/target/AdmissionQueue.cpp
+++ b/src/dandelionstand/target/AdmissionQueue.cpp
@@ -4,6 +4,13 @@
 
 AdmissionQueue::~AdmissionQueue() = default;
 
+std::optional<RefusalReason> AdmissionQueue::PredictRefusal(const Work&,
+                                                            common::TimePoint,
+                                                            common::TimePoint) const
+{
+  return std::nullopt;
+}
+
 std::string_view ToText(RefusalReason aReason)
 {
   switch (aReason) {
--- a/src/dandelionstand/target/AdmissionQueue.h
+++ b/src/dandelionstand/target/AdmissionQueue.h
@@ -92,6 +92,11 @@
   //! Refuses new work. The implementation may still start queued work for a limited time.
   virtual SlotActions MarkDraining(common::TimePoint aNow) = 0;
 
+  //! Returns why Offer() would refuse the work at aOfferedAt, as far as it can be known at aNow;
+  //! nullopt if it would not, or if the implementation does not predict it.
+  virtual std::optional<RefusalReason> PredictRefusal(const Work& aWork,
+                                                      common::TimePoint aOfferedAt,
+                                                      common::TimePoint aNow) const;
   //! Starts, queues or refuses the work.
   virtual SlotActions Offer(const Work& aWork, common::TimePoint aNow) = 0;
   //! Running work finished. If aKey is queued, it is removed from the queue without an action.
--- a/src/dandelionstand/target/TargetForwarder.cpp
+++ b/src/dandelionstand/target/TargetForwarder.cpp
@@ -35,7 +35,7 @@
                                  common::Counters& aCounters,
                                  peer::Transport& aTransport,
                                  const dialect::TargetDialect& aDialect,
-                                 EgressSettings aEgress,
+                                 const EgressSettings& aEgress,
                                  common::Incarnation aDaemonIncarnation,
                                  std::unique_ptr<AdmissionQueue> aQueue,
                                  ConfigSource aConfigSource)
@@ -46,8 +46,18 @@
   , configSource_(std::move(aConfigSource))
   , sender_(aLoop,
             aTransport,
-            std::move(aEgress),
+            aEgress,
             [this](const std::string& aRoute) { return CurrentLoad(aRoute); })
+  , uploads_(
+      aCounters,
+      aTransport,
+      aEgress,
+      [this](UploadReceiver::Upload aUpload) {
+        OfferCall(aUpload.callerDaemon_, aUpload.work_, std::move(aUpload.start_));
+      },
+      [this](const UploadReceiver::Upload& aUpload, std::string_view aReason) {
+        Refuse(aUpload.callerDaemon_, aUpload.work_.key_, aUpload.start_, aReason);
+      })
   , connections_(aLoop)
   , queue_(std::move(aQueue))
   , callContext_{ aLoop,
@@ -103,6 +113,8 @@
   if (aEnvelope.has_call_start()) {
     const peer::wire::CallStart& start = aEnvelope.call_start();
     OnCallStart(aCallerDaemon, KeyOf(aEnvelope, start), start);
+  } else if (aEnvelope.has_call_body()) {
+    uploads_.OnBody(KeyOf(aEnvelope, aEnvelope.call_body()), aEnvelope.call_body(), common::Now());
   } else if (aEnvelope.has_call_cancel()) {
     OnCallCancel(KeyOf(aEnvelope, aEnvelope.call_cancel()));
   } else if (aEnvelope.has_call_credit()) {
@@ -130,7 +142,7 @@
     Refuse(aCallerDaemon, aKey, aStart, ToText(RefusalReason::kNotReady));
     return;
   }
-  if (calls_.contains(aKey)) {
+  if (calls_.contains(aKey) || uploads_.Contains(aKey)) {
     counters_.Add("target_calls_repeated_total");
     return;
   }
@@ -141,29 +153,59 @@
   if (aStart.has_objective()) {
     work.objective_ = now + std::chrono::milliseconds(aStart.objective_left_ms());
   }
-  CallEntry& entry = calls_[aKey];
+  usage_.RecordOffer(aStart.route());
+  work.rank_ = aStart.rank();
+  work.route_ = aStart.route();
+  work.transferTime_ = sender_.TransferTime(aStart.route(), aKey.callerInstance_);
+  work.mayMissObjective_ = !aStart.has_other_endpoints();
+  if (aStart.deferred_body_bytes() > 0) {
+    StartUpload(aCallerDaemon, work, aStart);
+  } else {
+    OfferCall(aCallerDaemon, work, aStart);
+  }
+}
+
+void TargetForwarder::StartUpload(const peer::PeerRef& aCallerDaemon,
+                                  const Work& aWork,
+                                  const peer::wire::CallStart& aStart)
+{
+  const common::TimePoint now = common::Now();
+  const common::TimePoint bodyArrivesAt =
+    now + uploads_.TimeToReceive(aStart.deferred_body_bytes());
+  if (const auto reason = queue_->PredictRefusal(aWork, bodyArrivesAt, now)) {
+    Refuse(aCallerDaemon, aWork.key_, aStart, ToText(*reason));
+    return;
+  }
+  uploads_.Start({ aCallerDaemon, aWork, aStart }, now);
+}
+
+void TargetForwarder::OfferCall(const peer::PeerRef& aCallerDaemon,
+                                const Work& aWork,
+                                peer::wire::CallStart aStart)
+{
+  const common::TimePoint now = common::Now();
+  CallEntry& entry = calls_[aWork.key_];
   entry.offeredAt_ = now;
-  entry.deadline_ = deadline;
-  entry.objective_ = work.objective_;
+  entry.deadline_ = aWork.deadline_;
+  entry.objective_ = aWork.objective_;
   entry.call_ =
     std::make_unique<ForwardedCall>(callContext_,
                                     aCallerDaemon,
-                                    aKey,
-                                    aStart,
+                                    aWork.key_,
+                                    std::move(aStart),
                                     [this](const AttemptKey& aFinishedKey, WorkOutcome aOutcome) {
                                       OnCallFinished(AttemptKey(aFinishedKey), aOutcome);
                                     });
-  usage_.RecordOffer(aStart.route());
-  work.rank_ = aStart.rank();
-  work.route_ = aStart.route();
-  work.transferTime_ = sender_.TransferTime(aStart.route(), aKey.callerInstance_);
-  work.mayMissObjective_ = !aStart.has_other_endpoints();
-  Apply(queue_->Offer(work, now));
+  Apply(queue_->Offer(aWork, now));
 }
 
 void TargetForwarder::OnCallCancel(const AttemptKey& aKey)
 {
   sender_.Drop(aKey);
+  if (uploads_.Cancel(aKey)) {
+    counters_.Add("target_calls_cancelled_total");
+    return;
+  }
   const auto found = calls_.find(aKey);
   if (found == calls_.end()) {
     return;
@@ -282,6 +324,7 @@
 {
   RefreshLimits();
   Apply(queue_->Tick(common::Now()));
+  uploads_.Tick(*queue_, common::Now());
 }
 
 void TargetForwarder::LogUsage()
@@ -332,8 +375,9 @@
 peer::wire::Load TargetForwarder::CurrentLoad(const std::string& aRoute) const
 {
   peer::wire::Load load = CurrentLoad();
-  const common::Duration workTime =
-    queue_->MeanServiceTime(aRoute) + sender_.TransferTime(aRoute, common::InstanceId());
+  const common::Duration workTime = queue_->MeanServiceTime(aRoute) +
+                                    sender_.TransferTime(aRoute, common::InstanceId()) +
+                                    uploads_.UsualTimeToReceive(aRoute);
   load.set_work_time_us(static_cast<std::uint32_t>(workTime.count()));
   WriteNotice(notices_, load);
   return load;
--- a/src/dandelionstand/target/TargetForwarder.h
+++ b/src/dandelionstand/target/TargetForwarder.h
@@ -10,6 +10,7 @@
 #include "dandelionstand/target/NoticeTracker.h"
 #include "dandelionstand/target/RouteUsage.h"
 #include "dandelionstand/target/TargetConnections.h"
+#include "dandelionstand/target/UploadReceiver.h"
 
 #include <sigc++/signal.h>
 #include <sigc++/trackable.h>
@@ -48,7 +49,7 @@
                   common::Counters& aCounters,
                   peer::Transport& aTransport,
                   const dialect::TargetDialect& aDialect,
-                  EgressSettings aEgress,
+                  const EgressSettings& aEgress,
                   common::Incarnation aDaemonIncarnation,
                   std::unique_ptr<AdmissionQueue> aQueue,
                   ConfigSource aConfigSource);
@@ -79,7 +80,7 @@
   //! Refuses new calls as not run. Calls in flight continue.
   void StartDrain();
   //! Calls whose answers are not sent completely.
-  std::size_t InFlight() const { return calls_.size() + sender_.QueuedCount(); }
+  std::size_t InFlight() const { return calls_.size() + sender_.QueuedCount() + uploads_.Count(); }
   //! Counts bytes that leave this instance other than through the transport.
   void RecordEgress(std::size_t aBytes) { sender_.RecordEgress(aBytes); }
   //! The load reported with each answer: running and queued work, and usable slots.
@@ -101,6 +102,13 @@
   void OnCallStart(const peer::PeerRef& aCallerDaemon,
                    const AttemptKey& aKey,
                    const peer::wire::CallStart& aStart);
+  //! Offers a call whose request is complete to the queue.
+  void OfferCall(const peer::PeerRef& aCallerDaemon,
+                 const Work& aWork,
+                 peer::wire::CallStart aStart);
+  void StartUpload(const peer::PeerRef& aCallerDaemon,
+                   const Work& aWork,
+                   const peer::wire::CallStart& aStart);
   void OnCallCancel(const AttemptKey& aKey);
   void OnCallFinished(const AttemptKey& aKey, WorkOutcome aOutcome);
   void Apply(const SlotActions& aActions);
@@ -120,6 +128,7 @@
   common::Incarnation daemonIncarnation_;
   ConfigSource configSource_;
   AnswerSender sender_;
+  UploadReceiver uploads_;
   TargetConnections connections_;
   std::unique_ptr<AdmissionQueue> queue_;
   Target target_;
--- a/src/dandelionstand/target/UrgencyQueue.cpp
+++ b/src/dandelionstand/target/UrgencyQueue.cpp
@@ -57,6 +57,29 @@
   return actions;
 }
 
+std::optional<RefusalReason> UrgencyQueue::PredictRefusal(const Work& aWork,
+                                                          common::TimePoint aOfferedAt,
+                                                          common::TimePoint aNow) const
+{
+  if (isDraining_) {
+    return RefusalReason::kDraining;
+  }
+  if (!isReady_) {
+    return RefusalReason::kNotReady;
+  }
+  const common::TimePoint start = std::max(aOfferedAt, aNow + EstimatedWait(aWork, aNow));
+  if (start + MeanServiceTime(aWork.route_) + aWork.transferTime_ > aWork.deadline_) {
+    return RefusalReason::kUnservable;
+  }
+  if (MeetsObjective(aWork, start) || CanStart(aNow)) {
+    return std::nullopt;
+  }
+  if (!aWork.mayMissObjective_) {
+    return RefusalReason::kBusy;
+  }
+  return HasRoomForOverdue(aWork, aNow) ? std::nullopt : std::optional(RefusalReason::kQueueFull);
+}
+
 SlotActions UrgencyQueue::Offer(const Work& aWork, common::TimePoint aNow)
 {
   SlotActions actions;
--- a/src/dandelionstand/target/UrgencyQueue.h
+++ b/src/dandelionstand/target/UrgencyQueue.h
@@ -28,6 +28,9 @@
   SlotActions MarkReady(common::TimePoint aNow, common::Duration aRampUpDuration) override;
   SlotActions MarkNotReady(common::TimePoint aNow) override;
   SlotActions MarkDraining(common::TimePoint aNow) override;
+  std::optional<RefusalReason> PredictRefusal(const Work& aWork,
+                                              common::TimePoint aOfferedAt,
+                                              common::TimePoint aNow) const override;
   SlotActions Offer(const Work& aWork, common::TimePoint aNow) override;
   SlotActions OnWorkFinished(const AttemptKey& aKey,
                              WorkOutcome aOutcome,
--- a/tests/caller/CallMachineTests.cpp
+++ b/tests/caller/CallMachineTests.cpp
@@ -102,3 +102,46 @@
   REQUIRE(passedOn.size() == 2);
   CHECK(std::get<SendHead>(passedOn.front()).status_ == 500);
 }
+
+TEST_CASE("An upload whose body was not sent completely did not run when its endpoint is lost",
+          "[caller][call][upload]")
+{
+  using namespace dandelionstand;
+  using namespace std::chrono_literals;
+  EndpointPicker picker({}, 1);
+  std::vector<Endpoint> endpoints;
+  for (const char* name : { "a", "b" }) {
+    endpoints.push_back(
+      { common::InstanceId(name), common::Incarnation(1), common::Address(name), {}, {} });
+  }
+  picker.SetEndpoints(endpoints, kBegin);
+  RetryBudget budget{ RetryBudgetSettings{ .burst_ = 10 } };
+  CallPlan plan;
+  plan.route_ = kRoute;
+  plan.idempotency_ = config::Idempotency::kOnce;
+  plan.headDeadline_ = kBegin + 1'500ms;
+  plan.maxTotalAttempts_ = 3;
+  plan.policy_.chargesRefusalRetries_ = false;
+  CallMachine machine(plan, picker, budget);
+  REQUIRE(machine.Begin(kBegin).size() == 1);
+  machine.MarkRequestIncomplete();
+  SECTION("its link is lost before the last piece")
+  {
+    const CallActions actions = machine.OnLinkLost(kBegin + 100ms);
+    REQUIRE(actions.size() == 1);
+    CHECK(std::holds_alternative<SendAttempt>(actions.front()));
+  }
+  SECTION("its link is lost after the last piece")
+  {
+    machine.MarkRequestComplete();
+    const CallActions actions = machine.OnLinkLost(kBegin + 100ms);
+    REQUIRE(actions.size() == 1);
+    CHECK(std::get<RefuseCall>(actions.front()).runState_ == RunState::kUnknown);
+  }
+  SECTION("its deadline passes before the last piece")
+  {
+    const CallActions actions = machine.OnTimer(plan.headDeadline_);
+    REQUIRE(actions.size() == 2); // The attempt is cancelled first.
+    CHECK(std::get<RefuseCall>(actions.back()).runState_ == RunState::kNotRun);
+  }
+}
--- a/tests/integration/PlatformSiteTests.cpp
+++ b/tests/integration/PlatformSiteTests.cpp
@@ -55,6 +55,36 @@
           .status_ == 404);
 }
 
+TEST_CASE("A large body is requested by the endpoint's daemon, arrives unchanged and runs once",
+          "[integration][site][upload]")
+{
+  PlatformSite site;
+  REQUIRE(site.WaitUntilServing());
+  const auto uploadsAt = [&](std::size_t aIndex) {
+    return ParseMetric(HttpGet(site[aIndex].admin_, "/metrics").body_,
+                       "dandelion_target_uploads_total");
+  };
+  for (const std::size_t bytes : { 17'000, 300'000 }) {
+    const std::string id = "upload-" + std::to_string(bytes);
+    std::string body(bytes, 'u');
+    for (std::size_t i = 0; i < bytes; i += 1'000) {
+      body[i] = static_cast<char>('a' + i / 1'000 % 26);
+    }
+    const std::uint64_t uploadsBefore = uploadsAt(0) + uploadsAt(1);
+    const HttpReply reply =
+      HttpPost(site[2].outbound_,
+               "/write/1",
+               body,
+               { .headers_ = { { "Host", "site.example" },
+                               { "X-Dandelionstand-Request-Id", id },
+                               { "X-Dandelionstand-Deadline-Milliseconds", "5000" } } });
+    REQUIRE(reply.status_ == 200);
+    CHECK((reply.Json()["body"] == body));
+    CHECK(CountRuns(site, id) == 1);
+    CHECK(uploadsAt(0) + uploadsAt(1) == uploadsBefore + 1);
+  }
+}
+
 TEST_CASE("A version is active everywhere within two seconds and is also available from peers",
           "[integration][site]")
 {
