Test that an answer cut in the middle of its head is never complete

Report of other operators: an endpoint stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. Here every cut of two heads (one without a length, one with) is reported as broken; the test passes on the code as it was. It fails if ResponseReader::ReadEof takes any end of the connection for the end of the answer.

--- a/tests/http/ClientConnectionTests.cpp
+++ b/tests/http/ClientConnectionTests.cpp
@@ -160,6 +160,22 @@
       .failure_ == ClientFailure::kMalformed);
 }
 
+TEST_CASE("A response whose server closes in the middle of its head is never complete",
+          "[http][client]")
+{
+  // Neither head has a length that a cut could hide: the first ends with the connection, the second
+  // is cut inside the number too.
+  const std::string head = GENERATE("HTTP/1.1 200 OK\r\nId: 1\r\nSignature: 3e1b\r\n\r\n",
+                                    "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\n");
+  for (std::size_t length = 1; length < head.size(); ++length) {
+    const Outcome outcome =
+      ClientBench().SendRequest(head.substr(0, length), AfterResponse::kClose);
+    INFO("the first " << length << " bytes of the head");
+    CHECK_FALSE(outcome.isComplete_);
+    CHECK(outcome.failure_ == ClientFailure::kBroken);
+  }
+}
+
 TEST_CASE("Bytes without end before the response fail the request", "[http][client]")
 {
   ClientBench bench;
