Refuse uploads that would be late because of the link before their transfer

Cause: bodies are requested in the order of their announcement, and every upload was accepted that could be served before its deadline. Under an overload of the links each one then waits until its objective has passed, as in any queue served in order.

Change: an upload whose body would take more than 0.3 s to arrive and that would miss its objective is refused, at once: the bound that answers have had since the egress queue.

Test: "Work whose body would arrive too late is refused before the transfer".

--- a/src/dandelionstand/target/UrgencyQueue.cpp
+++ b/src/dandelionstand/target/UrgencyQueue.cpp
@@ -11,7 +11,8 @@
 constexpr double kOverdueShareWeight = 0.05;
 //! Below this share no overdue work is accepted, since it would hardly ever be started.
 constexpr double kMinOverdueShare = 0.1;
-//! Work whose answer would be late because of the link is accepted only below this transfer time.
+//! Work that would be late because of the link, its body or its answer, is accepted only below this
+//! transfer time.
 constexpr common::Duration kMaxLateTransferTime = std::chrono::milliseconds(300);
 
 } // namespace
@@ -71,7 +72,12 @@
   if (start + MeanServiceTime(aWork.route_) + aWork.transferTime_ > aWork.deadline_) {
     return RefusalReason::kUnservable;
   }
-  if (MeetsObjective(aWork, start) || CanStart(aNow)) {
+  const bool meetsObjective = MeetsObjective(aWork, start);
+  if (!meetsObjective && aOfferedAt - aNow > kMaxLateTransferTime) {
+    // Bodies arrive in order, so a late one would also delay those that could be on time.
+    return aWork.mayMissObjective_ ? RefusalReason::kQueueFull : RefusalReason::kBusy;
+  }
+  if (meetsObjective || CanStart(aNow)) {
     return std::nullopt;
   }
   if (!aWork.mayMissObjective_) {
--- a/tests/target/UrgencyQueueTests.cpp
+++ b/tests/target/UrgencyQueueTests.cpp
@@ -175,3 +175,32 @@
   CHECK(queue.RunningCount() == 1);
   CHECK(queue.Offer(MakeWork(3, kStart), kStart).size() == 1);
 }
+
+TEST_CASE("Work whose body would arrive too late is refused before the transfer",
+          "[target][urgency][upload]")
+{
+  UrgencyQueue queue;
+  queue.SetLimits(1, 0, kStart);
+  queue.MarkReady(kStart, {});
+  PrimeServiceTime(queue, 100ms);
+  Work work = MakeWork(1, kStart); // Objective after 600 ms, deadline after 1,500 ms.
+  CHECK_FALSE(queue.PredictRefusal(work, kStart + 300ms, kStart));
+  CHECK(queue.PredictRefusal(work, kStart + 1'450ms, kStart) == RefusalReason::kUnservable);
+  SECTION("at another endpoint it may be in time")
+  {
+    work.mayMissObjective_ = false;
+    CHECK(queue.PredictRefusal(work, kStart + 700ms, kStart) == RefusalReason::kBusy);
+  }
+  SECTION("there is no other endpoint")
+  {
+    CHECK(queue.PredictRefusal(work, kStart + 700ms, kStart) == RefusalReason::kQueueFull);
+    // A short transfer delays no others, and the slot is free.
+    work.objective_ = kStart;
+    CHECK_FALSE(queue.PredictRefusal(work, kStart + 200ms, kStart));
+  }
+  SECTION("the target is not ready")
+  {
+    queue.MarkNotReady(kStart);
+    CHECK(queue.PredictRefusal(work, kStart, kStart) == RefusalReason::kNotReady);
+  }
+}
