Look up the endpoints of services again when the members change

Cause: ServicePolicies looks the endpoints of a service up every 20 ms. For that long after its own target was withdrawn, a daemon still sends calls to it; they are refused as not run (target-not-ready) and retried elsewhere. In the failing run the withdrawal was in the daemon's dump, and both its browse call and the download 3 ms later went to its own target first (call_refused ... reason=target-not-ready attempt=1).

Change: a change of the members marks the endpoints of all services as out of date.

--- a/src/dandelionstand/caller/CallerServer.h
+++ b/src/dandelionstand/caller/CallerServer.h
@@ -79,6 +79,8 @@
   std::size_t ConnectionCount() const { return server_.ConnectionCount(); }
   //! Overrides the retry budgets of all services; see RetryBudget.
   void SetRetryBudget(const RetryBudgetSettings& aSettings) { policies_.SetRetryBudget(aSettings); }
+  //! The members changed, and with them perhaps the endpoints of services.
+  void OnMembersChanged() { policies_.MarkEndpointsChanged(); }
   //! Number of retries that each service's budget allows at present.
   std::map<common::ServiceName, std::uint64_t> RetriesRemaining()
   {
--- a/src/dandelionstand/caller/ServicePolicies.cpp
+++ b/src/dandelionstand/caller/ServicePolicies.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-//! Minimum interval between updates of a policy that has endpoints.
+//! Interval between updates of a policy that has endpoints while the members do not change.
 constexpr common::Duration kRefreshInterval = std::chrono::milliseconds(20);
 constexpr double kPercent = 100.0;
 
@@ -41,6 +41,13 @@
   return remaining;
 }
 
+void ServicePolicies::MarkEndpointsChanged()
+{
+  for (auto& [service, policy] : policies_) {
+    policy->refreshedAt_ = common::TimePoint();
+  }
+}
+
 ServicePolicy& ServicePolicies::PolicyOf(const common::ServiceName& aService,
                                          const config::Limits& aLimits,
                                          common::TimePoint aNow)
--- a/src/dandelionstand/caller/ServicePolicies.h
+++ b/src/dandelionstand/caller/ServicePolicies.h
@@ -37,6 +37,10 @@
                           const config::Limits& aLimits,
                           common::TimePoint aNow);
 
+  //! The members changed: the endpoints of each service are looked up again before the next call,
+  //! so that no call goes to an endpoint that was withdrawn.
+  void MarkEndpointsChanged();
+
   //! Number of retries that each service's budget allows at present.
   std::map<common::ServiceName, std::uint64_t> RetriesRemaining(common::TimePoint aNow) const;
 
--- a/src/dandelionstand/daemon/Daemon.cpp
+++ b/src/dandelionstand/daemon/Daemon.cpp
@@ -313,6 +313,7 @@
   const peer::Members members = membership_.State().All();
   controlSender_.SetMembers(members);
   configSource_->SetMembers(members, membership_.State().HasJoined());
+  callerServer_.OnMembersChanged();
   ApplyRetryBudget();
 }
 
