--- a/src/dandelionstand/peer/DocumentReaders.cpp
+++ b/src/dandelionstand/peer/DocumentReaders.cpp
@@ -46,8 +46,9 @@
   return ranked;
 }
 
-//! Moves the best-ranked member that shares neither region nor failure domain with the first one to
-//! the second place, so that no single loss takes both readers.
+//! Moves the best-ranked member of another region than the first one's to the second place, so that
+//! the loss of a region does not take both readers. If there is only one region, the best-ranked
+//! member of another failure domain is moved.
 void SeparateReaders(Members& aRanked)
 {
   if (aRanked.size() <= kReaders) {
