--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -174,7 +174,7 @@
             return data
 
 
-def configuration(routes, services, version="00000007"):
+def configuration(routes, services, version="00000007", idle_timeout_s=15):
     """A configuration document; routes are rows of name, host, prefix, kind, timeout, service."""
     columns = ["name", "host", "path-prefix", "kind", "timeout-s", "target-latency-s", "priority",
                "traffic-split", "max-attempts", "service"]
@@ -187,7 +187,7 @@
             "columns": ["name", "health-check-path", "connection-limit", "protocol", "tls"],
             "rows": [[name, "/health", 110, "h1", False] for name in services]},
         "limits": {"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout-s": 3,
-                   "idle-timeout-s": 15},
+                   "idle-timeout-s": idle_timeout_s},
         "base-version": "00000005"}).encode()
 
 
