Review: a daemon hangs while its log reader pauses (CONFIG)

Cause: libprotobuf reports header values that are not UTF-8 on standard error, with writes that block when the pipe is full.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -69,10 +69,15 @@
     raise CannotRun("no free loopback address")
 
 
-def free_port(ip):
-    with socket.socket() as probe:
+def free_ports(ip, count):
+    """Returns different free ports; all are bound at once, so that none is returned twice."""
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
         probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
 
 
 class Store:
@@ -223,9 +228,10 @@
         self.region = region
         self.ip = free_ip()
         self.outbound, self.readiness, self.control, self.inbound, self.application = (
-            f"{self.ip}:{free_port(self.ip)}" for _ in range(5))
+            f"{self.ip}:{port}" for port in free_ports(self.ip, 5))
         self.settings = os.path.join(bench.folder, f"{name}.json")
         self.log = os.path.join(bench.folder, f"{name}.log")
+        self.output = None  # A descriptor that takes the daemon's logs instead of the file.
         self.process = None
         self.misses = 2
         self.poller = None
@@ -251,6 +257,7 @@
         if not os.path.exists(command[0]):
             raise CannotRun(f"{command[0]} is not built")
         with open(self.log, "a", encoding="utf-8") as output:
+            output = output if self.output is None else self.output
             self.process = subprocess.Popen(
                 command, cwd=ROOT, stdout=output, stderr=output, stdin=subprocess.DEVNULL,
                 env={"PATH": os.environ["PATH"], "HOME": self.bench.folder, "LANG": "C",
@@ -295,7 +302,7 @@
         self.end = ""
 
 
-def request(address, method, target, headers, body=b"", timeout=10, bytes_per_s=None, on_sent=None):
+def request(address, method, target, headers, body=b"", timeout=10, bytes_per_s=None):
     """Sends one request on a connection of its own and reads its answer.
 
     With bytes_per_s, the client is behind a link of that speed with Ethernet frames: it announces
@@ -315,9 +322,7 @@
         if body or method == "POST":
             fields["Content-Length"] = str(len(body))
         head += "".join(f"{name}: {value}\r\n" for name, value in fields.items()) + "\r\n"
-        connection.sendall(head.encode() + body)
-        if on_sent:
-            on_sent()
+        connection.sendall(head.encode("latin-1") + body)
         data, length, started = b"", None, None
         while True:
             left = until - time.monotonic()
