--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -362,6 +362,45 @@
     return answer
 
 
+class KeptConnection:
+    """A client's connection that is kept for many requests, one at a time."""
+
+    def __init__(self, address):
+        host, port = address.rsplit(":", 1)
+        self.socket = socket.create_connection((host, int(port)), timeout=1)
+
+    def request(self, method, target, headers, body, timeout):
+        """Returns the status (0 without a whole answer), how it ended, and whether it was the last."""
+        until = time.monotonic() + timeout
+        head = f"{method} {target} HTTP/1.1\r\n"
+        fields = {**headers, "Content-Length": str(len(body))}
+        head += "".join(f"{name}: {value}\r\n" for name, value in fields.items()) + "\r\n"
+        try:
+            self.socket.sendall(head.encode() + body)
+            data, length, status, closes = b"", None, 0, False
+            while length is None or len(data) < length:
+                self.socket.settimeout(max(0.001, until - time.monotonic()))
+                piece = self.socket.recv(65536)
+                if not piece:
+                    return 0, "connection closed", True
+                data += piece
+                if length is None and b"\r\n\r\n" in data:
+                    raw, data = data.split(b"\r\n\r\n", 1)
+                    lines = raw.decode("latin-1").lower().split("\r\n")
+                    status = int(lines[0].split()[1])
+                    answer = dict(line.split(": ", 1) for line in lines[1:])
+                    length = int(answer.get("content-length", 0))
+                    closes = answer.get("connection") == "close"
+            return status, "whole", closes
+        except socket.timeout:
+            return 0, "deadline", True
+        except OSError as error:
+            return 0, f"connection broke: {error.strerror}", True
+
+    def close(self):
+        self.socket.close()
+
+
 class Endpoint:
     """An application endpoint: runs requests, sends heartbeats, drains and leaves.
 
