--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,7 @@
-"""A planned stop of one daemon while its clients still receive downloads.
+"""An endpoint says that it leaves, its daemon acknowledges that, is killed and starts again.
 
-The clients ask for downloads until the platform takes the machine out. A client receives its answer
-at the speed of its link. The daemon is sent SIGTERM once; nothing else happens.
+A heartbeat that the endpoint sent before it left arrives late, after the restart. The endpoint goes
+on serving for some seconds, as PROTOCOL.md allows, and exits.
 """
 
 import os
@@ -11,85 +11,109 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
-from harness import BOUNDS, Endpoint, TROUBLE, configuration, play, request  # noqa: E402
+from harness import BOUNDS, CannotRun, Endpoint, TROUBLE, configuration, play, request  # noqa: E402
 
-BYTES = 5_000_000  # A pattern file with drawings.
-WORK_MS = 320  # The mean work of a download on the grown deployment.
-TIMEOUT_S = 3.0  # Time-out of the route, and the client's deadline, as on the grown deployment.
-LINK_BYTES_PER_S = 2_200_000  # A client behind 17.6 Mbit/s: 2.3 s for an answer.
-GAP_S = 0.25  # Between two downloads.
+WORK_MS = 290  # The mean work of an order on the sheet.
+TIMEOUT_S = 1.2
+DEADLINE_MS = 2000
+GAP_S = 0.2  # Between two orders on one machine.
+LATE_S = 2.8  # The delay of the late heartbeat.
+DOWN_S = 0.5  # Until the platform starts a killed daemon again.
+SERVES_ON_S = 8.0  # Time from the acknowledgement of the leave until the endpoint exits.
 
 
 def case(bench):
-    for name, zone in (("m1", "ost-a"), ("m2", "ost-b")):
-        bench.add_machine(name, zone, "ostalpen", "schnittmuster")
+    for name, zone, region in (("m1", "ost-a", "ostalpen"), ("m2", "west-a", "westalpen"),
+                               ("m3", "donau-a", "donau")):
+        bench.add_machine(name, zone, region, "bestellung")
     bench.configure(configuration(
-        [("patterns", "shop.example", "/patterns/", "download", TIMEOUT_S, "schnittmuster")],
-        ["schnittmuster"]))
+        [("orders", "shop.example", "/orders/", "unsafe", TIMEOUT_S, "bestellung")],
+        ["bestellung"]))
     for machine in bench.machines:
         machine.start()
     endpoints = [Endpoint(bench, machine, f"i-{machine.name}") for machine in bench.machines]
     bench.wait_until_ready()
     time.sleep(4)
-    stopping = bench.machines[0]
-    stop = {"at": None}
-    results = []
+    results, threads, numbers = [], [], iter(range(1, 100000))
+    lock = threading.Lock()
 
-    def download(number):
+    def order(machine, number):
         identity = f"{number:016x}"
-        result = {"id": identity, "at": bench.record.now()}
+        at = bench.record.now()
         try:
             answer = request(
-                stopping.outbound, "GET", f"/patterns/{number}/work-{WORK_MS}/bytes-{BYTES}",
+                machine.outbound, "POST", f"/orders/{number}/work-{WORK_MS}",
                 {"Host": "shop.example", "X-Dandelionstand-Request-Id": identity,
-                 "X-Dandelionstand-Deadline-Milliseconds": str(int(TIMEOUT_S * 1000))},
-                timeout=TIMEOUT_S, bytes_per_s=LINK_BYTES_PER_S)
-            result.update(status=answer.status, whole=answer.whole, end=answer.end,
-                          bytes=len(answer.body),
-                          signed="x-dandelionstand-response-signature" in answer.headers)
+                 "X-Dandelionstand-Deadline-Milliseconds": str(DEADLINE_MS)},
+                b"one box", timeout=DEADLINE_MS / 1000)
+            status, end = answer.status, answer.end
         except OSError as error:
-            result.update(status=0, whole=False, end=f"no connection: {error}", bytes=0,
-                          signed=False)
-        result["ended"] = bench.record.now()
-        bench.record.write(
-            f"client: {identity} sent at {result['at']:.3f}, status {result['status']}, "
-            f"{result['bytes']} bytes of the body, {result['end']}")
-        results.append(result)
+            status, end = 0, f"no connection: {error}"
+        with lock:
+            results.append((at, identity, machine.name, status, end))
+        bench.record.write(f"client on {machine.name}: {identity} sent at {at:.3f}, "
+                           f"status {status}, {end}")
 
-    threads = []
-    start = time.monotonic()
-    number = 0
-    while time.monotonic() - start < 6:
-        if TROUBLE and stop["at"] is None and time.monotonic() - start > 2:
-            stop["at"] = bench.record.now()
-            stopping.signal(signal.SIGTERM)
-            threading.Thread(target=stopping.wait, daemon=True).start()
-        if stopping.takes_clients():
-            number += 1
-            threads.append(threading.Thread(target=download, args=(number,), daemon=True))
-            threads[-1].start()
-        time.sleep(GAP_S)
-    for thread in threads:
-        thread.join(10)
+    def traffic(machine):
+        while not bench.ended and not stopping.is_set():
+            if machine.takes_clients():
+                with lock:
+                    number = next(numbers)
+                thread = threading.Thread(target=order, args=(machine, number), daemon=True)
+                threads.append(thread)
+                thread.start()
+            time.sleep(GAP_S)
 
-    # LOST: the endpoint had handed over its whole answer, the client's deadline and the route's
-    # time-out had not come, and the connection ended without the complete answer.
-    answered = {arrival[1] for endpoint in endpoints for arrival in endpoint.arrivals if arrival[2]}
+    stopping = threading.Event()
+    for machine in bench.machines:
+        threading.Thread(target=traffic, args=(machine,), daemon=True).start()
+    time.sleep(3)
+
+    leaving, machine = endpoints[0], bench.machines[0]
+    leaving.beats = False
+    time.sleep(1)
+    path, body = leaving.heartbeat()
+    bench.record.write(f"endpoint {leaving.id}: heartbeat {leaving.sequence} sent, will be late")
+
+    def deliver_late():
+        time.sleep(LATE_S)
+        status = leaving.post(path, body)
+        bench.record.write(f"endpoint {leaving.id}: late heartbeat arrives, answered {status}")
+
+    threading.Thread(target=deliver_late, daemon=True).start()
+    time.sleep(0.3)
+    if not leaving.leave():
+        raise CannotRun("the leave was not acknowledged")
+    acknowledged = bench.record.now()
+    in_touch = acknowledged
+    if TROUBLE:
+        time.sleep(0.05)
+        machine.signal(signal.SIGKILL)
+        machine.wait()
+        time.sleep(DOWN_S)
+        machine.start()
+        # The machine is in touch once stable-window-s have passed since its start.
+        in_touch = bench.record.now() + BOUNDS["stable-window-s"]
+    time.sleep(max(0, acknowledged + SERVES_ON_S - bench.record.now()))
+    leaving.end()
+    time.sleep(2)
+    stopping.set()
+    for thread in list(threads):
+        thread.join(5)
+
+    sent = {identity: (at, name, status, end) for at, identity, name, status, end in results}
+    bound = max(acknowledged + BOUNDS["drain-s"], in_touch)
     broken = []
-    for result in results:
-        is_planned_work = stop["at"] is not None and (
-            stop["at"] <= result["ended"] <= stop["at"] + BOUNDS["grace-period-s"] + 1)
-        is_cut = not result["whole"] and result["end"].startswith("connection")
-        in_time = result["ended"] < result["at"] + TIMEOUT_S
-        if is_cut and in_time and result["id"] in answered and (is_planned_work or not TROUBLE):
+    for at, identity, _ in leaving.arrivals:
+        if at > bound and identity in sent and sent[identity][0] > bound:
+            _, name, status, _ = sent[identity]
             broken.append(
-                f"LOST: {result['id']} sent {result['at'] - (stop['at'] or 0):+.2f} s from SIGTERM "
-                f"was answered by its endpoint and cut after {result['bytes']} bytes, "
-                f"{result['ended'] - (stop['at'] or 0):.2f} s after SIGTERM")
-    whole = sum(result["whole"] and result["status"] == 200 for result in results)
-    bench.record.write(f"{len(results)} downloads, {whole} whole")
-    if not TROUBLE and whole < len(results):
-        broken.append("a download without a planned stop did not arrive whole")
+                f"DRAIN: {identity}, taken by {name}, reached {leaving.id} "
+                f"{at - acknowledged:.2f} s after its leave was acknowledged, "
+                f"{at - in_touch:.2f} s after m1 was in touch; the client got {status}")
+    cut = [line for line in broken if line.endswith(" 502")]
+    bench.record.write(f"{len(results)} orders; {len(broken)} late at the endpoint that left, "
+                       f"of these {len(cut)} cut by its exit (502)")
     return broken
 
 
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -408,13 +408,13 @@
     end with work-MS and bytes-N, which say how long it works and how long the answer is.
     """
 
-    def __init__(self, bench, machine, name, slots=18, work_s=0.1):
+    def __init__(self, bench, machine, name, slots=18, work_s=0.1, beats=True):
         self.bench, self.machine, self.id = bench, machine, name
         self.slots, self.work_s = slots, work_s
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = "ready"
-        self.beats = True
+        self.beats = beats
         self.ended = False
         self.running = 0
         self.lock = threading.Lock()
