Review: make the stop of case 4 repeatable, and tell faults of a script apart

Cause: one of 17 runs of case 4 cut nothing, since the phase between SIGTERM and the readiness checks was left to chance; an unexpected error of a script would have looked like a broken rule. Change: case 4 sends SIGTERM right after a readiness check; any error of a script gives 2, as does a missing Python; SIGTERM ends what a script started.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -235,6 +235,7 @@
         self.process = None
         self.misses = 2
         self.poller = None
+        self.polled = threading.Event()  # Set for a moment after each readiness check.
 
     def fields(self):
         return {
@@ -289,7 +290,10 @@
             if (previous >= 2) != (self.misses >= 2):
                 self.bench.record.write(
                     f"{self.name}: {'out' if self.misses >= 2 else 'in'} (readiness)")
-            time.sleep(1)
+            self.polled.set()
+            time.sleep(0.05)
+            self.polled.clear()
+            time.sleep(0.95)
 
     def takes_clients(self):
         return self.misses < 2
@@ -605,6 +609,9 @@
 def play(case_file, case):
     """Runs the case: exits with 1 if it returns broken rules, 0 if none, 2 if it couldn't run."""
     bench = Bench(os.path.dirname(os.path.abspath(case_file)))
+    code = 2
+    # An end from outside also ends the processes that were started.
+    signal.signal(signal.SIGTERM, lambda *unused: sys.exit(code))
     try:
         broken = case(bench)
         for line in broken:
@@ -612,10 +619,9 @@
         bench.record.write(f"{len(broken)} breaches")
         print(f"{len(broken)} breaches", *broken[:5], sep="\n")
         code = 1 if broken else 0
-    except (CannotRun, OSError, AttributeError) as error:
-        bench.record.write(f"could not run: {error}")
-        print(f"could not run: {error}")
-        code = 2
+    except Exception as error:  # A fault of the script says nothing about the rule either.
+        bench.record.write(f"could not run: {error!r}")
+        print(f"could not run: {error!r}")
     finally:
         bench.close()
     sys.stdout.flush()
